--- a/core/call.go
+++ b/core/call.go
@@ -20,7 +20,7 @@
 // Hash returns the admission hash, which every hop of the chain compares with its own fraction.
 func (rid RootID) Hash() uint32 { return binary.BigEndian.Uint32(rid[:4]) }
 
-// Fingerprint identifies requests that are alike: same tenant, service, method, path, query and start of body.
+// Fingerprint identifies requests that are alike: same team, service, method, path, query and start of body.
 type Fingerprint [32]byte
 
 // String returns the first eight bytes in hexadecimal digits.
@@ -29,7 +29,7 @@
 // Root is what stays the same along the whole chain of a root request.
 type Root struct {
 	id       RootID
-	tenant   string
+	team     string
 	keyID    string
 	class    string
 	rank     int
@@ -41,7 +41,7 @@
 // RootSpec lists the fields of a new Root.
 type RootSpec struct {
 	ID       RootID
-	Tenant   string
+	Team     string
 	KeyID    string
 	Class    string
 	Rank     int
@@ -53,7 +53,7 @@
 // NewRoot returns a root request.
 func NewRoot(spec RootSpec) *Root {
 	return &Root{
-		id: spec.ID, tenant: spec.Tenant, keyID: spec.KeyID, class: spec.Class, rank: spec.Rank,
+		id: spec.ID, team: spec.Team, keyID: spec.KeyID, class: spec.Class, rank: spec.Rank,
 		deadline: spec.Deadline, admitted: spec.Admitted, open: spec.Open,
 	}
 }
@@ -61,8 +61,8 @@
 // ID returns the identifier.
 func (roo *Root) ID() RootID { return roo.id }
 
-// Tenant returns the tenant that the key proved, or "" on a route open to all.
-func (roo *Root) Tenant() string { return roo.tenant }
+// Team returns the team that the key proved, or "" on a route open to all.
+func (roo *Root) Team() string { return roo.team }
 
 // KeyID returns the declared identifier of the key, never the key.
 func (roo *Root) KeyID() string { return roo.keyID }
@@ -183,7 +183,7 @@
 // Budget returns the unused retries.
 func (fee Feedback) Budget() int { return fee.budget }
 
-// Fraction returns the smallest admission fraction along the chain for the call's class and tenant.
+// Fraction returns the smallest admission fraction along the chain for the call's class and team.
 func (fee Feedback) Fraction() float64 { return fee.fraction }
 
 // Load returns calls in flight and waiting divided by the limit of the serving node.
--- a/core/coordination/flow/fleet_test.go
+++ b/core/coordination/flow/fleet_test.go
@@ -50,7 +50,7 @@
 func serviceName(idx int) string { return fmt.Sprintf("s%d", idx) }
 
 // snapshot declares a chain with one host of each service in each of two failure domains.
-func snapshot(tb testing.TB, chain int, tenants, revoked []string) *decl.Snapshot {
+func snapshot(tb testing.TB, chain int, names, revoked []string) *decl.Snapshot {
 	tb.Helper()
 	services, hosts, teams, keys := []object{}, []object{}, []object{}, []object{}
 	for idx := range chain {
@@ -66,15 +66,15 @@
 			})
 		}
 	}
-	for _, name := range tenants {
+	for _, name := range names {
 		sum := sha256.Sum256([]byte(name + "-key"))
 		teams = append(teams, object{"name": name, "rate": 1e6, "burst": 1e6})
 		if len(revoked) == 0 || revoked[0] != name {
-			keys = append(keys, object{"id": name + "-1", "tenant": name, "sha256": hex.EncodeToString(sum[:])})
+			keys = append(keys, object{"id": name + "-1", "team": name, "sha256": hex.EncodeToString(sum[:])})
 		}
 	}
 	dec, err := decl.Decode(encode(tb, object{
-		"version": 1, "services": services, "tenants": teams, "keys": keys,
+		"version": 1, "services": services, "teams": teams, "keys": keys,
 		"classes": []object{
 			{"name": "confirm", "target": object{"answered": 0.9999, "within": within.String()}},
 			{"name": "read", "target": object{"answered": 0.99, "within": within.String()}},
@@ -125,10 +125,10 @@
 }
 
 // newFleet starts a fleet whose probes end with the context. It must run in a synctest bubble.
-func newFleet(ctx context.Context, tb testing.TB, chain []plan, tenants []string, seed uint64, naive bool) *fleet {
+func newFleet(ctx context.Context, tb testing.TB, chain []plan, teams []string, seed uint64, naive bool) *fleet {
 	tb.Helper()
 	fle := &fleet{hosts: map[string]*host{}, naive: naive, rng: rand.New(rand.NewPCG(seed, 1))}
-	fle.snap.Store(snapshot(tb, len(chain), tenants, nil))
+	fle.snap.Store(snapshot(tb, len(chain), teams, nil))
 	for idx, hos := range fle.snap.Load().Hosts().All() {
 		fle.add(hos, chain, seed+uint64(idx))
 	}
--- a/core/coordination/flow/flow.go
+++ b/core/coordination/flow/flow.go
@@ -30,10 +30,10 @@
 	downLoad = 1000
 )
 
-// Rates admits root requests by their tenant's rate.
+// Rates admits root requests by their team's rate.
 type Rates interface {
 	// Take takes one token, or returns a refusal with reason rate_exceeded.
-	Take(ctx context.Context, tenant string) error
+	Take(ctx context.Context, team string) error
 }
 
 // Settings configures a Flow.
@@ -123,25 +123,25 @@
 		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), "", "")
 		return nil, err
 	}
-	class, tenant := tar.route.Class().Name(), ""
+	class, team := tar.route.Class().Name(), ""
 	root, body, err := flo.admit(ctx, tar, req, start)
 	if root != nil {
-		tenant = root.Tenant()
+		team = root.Team()
 	}
 	var ans *core.Answer
 	if err == nil {
 		ans, err = flo.enterRoot(ctx, tar, req, root, body)
 	}
 	if err != nil {
-		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), class, tenant)
+		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), class, team)
 		return nil, err
 	}
-	flo.set.Observer.Served(class, tenant, false, time.Since(start))
+	flo.set.Observer.Served(class, team, false, time.Since(start))
 	return ans, nil
 }
 
-// admit proves the tenant, makes the root request and takes its rate token. The learned fraction
-// is asked first, so that a request that is refused for overload costs its tenant no token. The token is taken when
+// admit proves the team, makes the root request and takes its rate token. The learned fraction
+// is asked first, so that a request that is refused for overload costs its team no token. The token is taken when
 // the start of the body is there, so that the admission does not age while a slow sender sends it.
 func (flo *Flow) admit(ctx context.Context, tar target, req *core.Request, now time.Time) (*core.Root, *replay, error) {
 	cla := tar.route.Class()
@@ -155,9 +155,9 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		spec.Tenant, spec.KeyID = key.Tenant().Name(), key.ID()
+		spec.Team, spec.KeyID = key.Team().Name(), key.ID()
 	}
-	if !flo.learner.admits(now, keyOf(tar, req, spec.Tenant), spec.ID) {
+	if !flo.learner.admits(now, keyOf(tar, req, spec.Team), spec.ID) {
 		return core.NewRoot(spec), nil, refuse(core.ReasonOverload, "service %q is overloaded for class %q", req.Service(), cla.Name()).After(time.Second)
 	}
 	body, err := newReplay(req.Body(), req.Length())
@@ -166,10 +166,10 @@
 	}
 	spec.Admitted = time.Now()
 	root := core.NewRoot(spec)
-	if root.Tenant() == "" {
+	if root.Team() == "" {
 		return root, body, nil
 	}
-	return root, body, flo.set.Rates.Take(ctx, root.Tenant())
+	return root, body, flo.set.Rates.Take(ctx, root.Team())
 }
 
 func prove(sna *decl.Snapshot, secret string) (*decl.Key, error) {
@@ -183,19 +183,19 @@
 	return key, nil
 }
 
-func keyOf(tar target, req *core.Request, tenant string) learnKey {
-	return learnKey{service: req.Service(), pattern: tar.route.Pattern(), tenant: tenant}
+func keyOf(tar target, req *core.Request, team string) learnKey {
+	return learnKey{service: req.Service(), pattern: tar.route.Pattern(), team: team}
 }
 
 func (flo *Flow) enterRoot(ctx context.Context, tar target, req *core.Request, root *core.Root, body *replay) (*core.Answer, error) {
 	out := &outgoing{tar: tar, root: root, req: req, body: body, budget: retry.NewBudget(retry.DefaultBudget)}
 	out.learn = func(fraction float64) {
-		flo.learner.learn(time.Now(), keyOf(tar, req, root.Tenant()), fraction)
+		flo.learner.learn(time.Now(), keyOf(tar, req, root.Team()), fraction)
 	}
 	return flo.send(ctx, out)
 }
 
-// Nested serves a call that the own upstream makes while it serves a call. Tenant, class,
+// Nested serves a call that the own upstream makes while it serves a call. Team, class,
 // deadline and budget come from the running call, never from the upstream.
 func (flo *Flow) Nested(ctx context.Context, req *core.Request) (*core.Answer, error) {
 	start := time.Now()
@@ -204,16 +204,16 @@
 		flo.set.Observer.Refused(core.ReasonCallToken, "", "")
 		return nil, refuse(core.ReasonCallToken, "the token belongs to no running call")
 	}
-	class, tenant := run.call.Class(), run.call.Tenant()
+	class, team := run.call.Class(), run.call.Team()
 	run.enter(start)
 	fraction := 1.0
 	ans, err := flo.nested(ctx, run, req, func(frac float64) { fraction = min(fraction, frac) })
 	run.leave(time.Now(), fraction, err != nil || retry.Failed(ans.Status()))
 	if err != nil {
-		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), class, tenant)
+		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), class, team)
 		return nil, err
 	}
-	flo.set.Observer.Served(class, tenant, true, time.Since(start))
+	flo.set.Observer.Served(class, team, true, time.Since(start))
 	return ans, nil
 }
 
@@ -243,14 +243,14 @@
 	return onClose(ans, func() { stop(); cancel() }), nil
 }
 
-// checkKey refuses work of a root request whose key has been revoked since it was admitted, and a tenant that no key
+// checkKey refuses work of a root request whose key has been revoked since it was admitted, and a team that no key
 // proved.
 func checkKey(sna *decl.Snapshot, root *core.Root) error {
-	if root.Open() && root.Tenant() == "" {
+	if root.Open() && root.Team() == "" {
 		return nil
 	}
 	key := sna.KeyByID(root.KeyID())
-	if key == nil || key.Tenant().Name() != root.Tenant() {
+	if key == nil || key.Team().Name() != root.Team() {
 		return refuse(core.ReasonKeyUnknown, "the key %q of this request has been revoked", root.KeyID())
 	}
 	return nil
--- a/core/coordination/flow/flow_test.go
+++ b/core/coordination/flow/flow_test.go
@@ -58,13 +58,13 @@
 }
 
 // callOf returns a call of a root request as it arrives beside the upstream.
-func callOf(tenant string, admitted, deadline time.Time) *core.Call {
-	root := core.NewRoot(core.RootSpec{Tenant: tenant, KeyID: tenant + "-1", Class: "read", Rank: 1, Admitted: admitted, Deadline: deadline})
+func callOf(team string, admitted, deadline time.Time) *core.Call {
+	root := core.NewRoot(core.RootSpec{Team: team, KeyID: team + "-1", Class: "read", Rank: 1, Admitted: admitted, Deadline: deadline})
 	return core.NewCall(core.CallSpec{Root: root, Service: serviceName(0), Method: http.MethodGet, Path: "/read", Header: http.Header{}, Idempotent: true})
 }
 
-func serve(ctx context.Context, hos *host, tenant string) result {
-	return resultOf(hos.flow.Serve(ctx, callOf(tenant, time.Now(), time.Now().Add(within))))
+func serve(ctx context.Context, hos *host, team string) result {
+	return resultOf(hos.flow.Serve(ctx, callOf(team, time.Now(), time.Now().Add(within))))
 }
 
 func diff(t *testing.T, want, got any) {
@@ -188,18 +188,18 @@
 	})
 }
 
-// Guards against an upstream that chooses tenant, class, deadline or budget for its nested calls.
+// Guards against an upstream that chooses team, class, deadline or budget for its nested calls.
 func TestNestedKeepsRoot(t *testing.T) {
 	type root struct {
-		Tenant, KeyID, Class string
-		Deadline             time.Time
-		Budget, Depth        int
+		Team, KeyID, Class string
+		Deadline           time.Time
+		Budget, Depth      int
 	}
 	bubble(t, 2, func(ctx context.Context, t *testing.T, fle *fleet) {
 		var seen []root
 		for _, hos := range fle.order {
 			hos.upstream.seen = func(_ context.Context, cal *core.Call) bool {
-				seen = append(seen, root{cal.Tenant(), cal.KeyID(), cal.Class(), cal.Deadline(), cal.Budget(), cal.Depth()})
+				seen = append(seen, root{cal.Team(), cal.KeyID(), cal.Class(), cal.Deadline(), cal.Budget(), cal.Depth()})
 				return true
 			}
 		}
@@ -285,12 +285,12 @@
 	})
 }
 
-// Guards against a peer that claims a tenant which no key has proved.
-func TestUnprovedTenantIsRefused(t *testing.T) {
+// Guards against a peer that claims a team which no key has proved.
+func TestUnprovedTeamIsRefused(t *testing.T) {
 	bubble(t, 1, func(ctx context.Context, t *testing.T, fle *fleet) {
 		now := time.Now()
 		for _, open := range []bool{true, false} {
-			root := core.NewRoot(core.RootSpec{Tenant: "ann", Class: "read", Open: open, Admitted: now, Deadline: now.Add(within)})
+			root := core.NewRoot(core.RootSpec{Team: "ann", Class: "read", Open: open, Admitted: now, Deadline: now.Add(within)})
 			call := core.NewCall(core.CallSpec{Root: root, Service: serviceName(0), Method: http.MethodGet, Path: "/read", Depth: 1})
 			diff(t, result{0, core.ReasonKeyUnknown, "not-run"}, resultOf(fle.order[0].flow.Serve(ctx, call)))
 		}
--- a/core/coordination/flow/learn.go
+++ b/core/coordination/flow/learn.go
@@ -22,7 +22,7 @@
 type learnKey struct {
 	service string
 	pattern string
-	tenant  string
+	team    string
 }
 
 // learned is one immutable observation; a newer one replaces it.
--- a/core/coordination/flow/measure_test.go
+++ b/core/coordination/flow/measure_test.go
@@ -37,7 +37,7 @@
 const (
 	goalGoodput  = 0.95
 	goalRecovery = 2 * time.Second
-	goalTenant   = 0.95
+	goalTeam     = 0.95
 	goalWrongful = 0.001
 )
 
@@ -51,11 +51,11 @@
 	return chain
 }
 
-// stream is the load of one tenant and class, as a multiple of the capacity.
+// stream is the load of one team and class, as a multiple of the capacity.
 type stream struct {
-	tenant string
-	class  string
-	load   func(at time.Duration) float64
+	team  string
+	class string
+	load  func(at time.Duration) float64
 }
 
 func steady(load float64) func(time.Duration) float64 {
@@ -106,7 +106,7 @@
 func (tal *tally) at(str stream, at time.Duration, count func(cel *cell)) {
 	tal.mu.Lock()
 	defer tal.mu.Unlock()
-	name := str.tenant + "/" + str.class
+	name := str.team + "/" + str.class
 	idx := int(at / bucket)
 	for len(tal.cells[name]) <= idx {
 		tal.cells[name] = append(tal.cells[name], cell{})
@@ -115,10 +115,10 @@
 }
 
 // sum adds up the streams with a prefix and a suffix between two times.
-func (tal *tally) sum(tenant, class string, begin, end time.Duration) cell {
+func (tal *tally) sum(team, class string, begin, end time.Duration) cell {
 	var sum cell
 	for name, cells := range tal.cells {
-		if !strings.HasPrefix(name, tenant) || !strings.HasSuffix(name, class) {
+		if !strings.HasPrefix(name, team) || !strings.HasSuffix(name, class) {
 			continue
 		}
 		for idx := int(begin / bucket); idx < min(int(end/bucket), len(cells)); idx++ {
@@ -244,7 +244,7 @@
 		return 0, false
 	}
 	req := core.NewRequest(core.RequestSpec{
-		Key: cli.str.tenant + "-key", Service: serviceName(0), Method: http.MethodGet, Path: "/" + cli.str.class, Header: http.Header{},
+		Key: cli.str.team + "-key", Service: serviceName(0), Method: http.MethodGet, Path: "/" + cli.str.class, Header: http.Header{},
 	})
 	var entry core.Entry = hos.flow
 	if cli.fle.naive {
@@ -286,11 +286,11 @@
 
 func slowdown(depth int, load float64) scenario {
 	sce := scenario{depth: depth, begin: slowDeepest, finish: healDeepest}
-	for _, tenant := range []string{"ann", "bob"} {
+	for _, team := range []string{"ann", "bob"} {
 		sce.streams = append(
 			sce.streams,
-			stream{tenant, "confirm", from(usualLoad*importantBit/2, load*importantBit/2)},
-			stream{tenant, "read", from(usualLoad*(1-importantBit)/2, load*(1-importantBit)/2)},
+			stream{team, "confirm", from(usualLoad*importantBit/2, load*importantBit/2)},
+			stream{team, "read", from(usualLoad*(1-importantBit)/2, load*(1-importantBit)/2)},
 		)
 	}
 	return sce
@@ -335,7 +335,7 @@
 	return "ours"
 }
 
-// A service deep in the chain becomes ten times slower while clients repeat failed requests at once. Guards
+// A service deep in the chain becomes tea times slower while clients repeat failed requests at once. Guards
 // against collapse under retries, against shedding of important requests first, and against a slow return.
 func TestMeasureSlowdown(t *testing.T) {
 	for _, depth := range []int{3, 6} {
@@ -370,7 +370,7 @@
 	check(t, naive, res.attempts <= 3, "%d attempts at the deepest service for one root request, want at most 3", res.attempts)
 }
 
-// One tenant sends ten times its part. Guards against service of the others that falls with it, unused
+// One team sends tea times its part. Guards against service of the others that falls with it, unused
 // capacity, and refusals that go on after the surge.
 func TestMeasureSurge(t *testing.T) {
 	for _, naive := range []bool{false, true} {
@@ -381,7 +381,7 @@
 		wrongful := float64(rest.refused) / float64(rest.offered)
 		t.Logf("| surge | %s | worst-served %s | goodput %s | refused after it %s |", names(naive), percent(worst), percent(used), percent(wrongful))
 		t.Logf("refused %v", res.refused)
-		check(t, naive, worst >= goalTenant, "worst-served tenant %s, want %s", percent(worst), percent(goalTenant))
+		check(t, naive, worst >= goalTeam, "worst-served team %s, want %s", percent(worst), percent(goalTeam))
 		check(t, naive, used >= goalGoodput, "goodput %s, want %s", percent(used), percent(goalGoodput))
 		check(t, naive, wrongful < goalWrongful, "refused after the surge %s, want below %s", percent(wrongful), percent(goalWrongful))
 	}
--- a/core/coordination/flow/send.go
+++ b/core/coordination/flow/send.go
@@ -57,7 +57,7 @@
 		}
 		out.body = body
 	}
-	out.print = crash.Fingerprint(out.root.Tenant(), out.req.Service(), out.req.Method(), out.req.Target(), out.body.start())
+	out.print = crash.Fingerprint(out.root.Team(), out.req.Service(), out.req.Method(), out.req.Target(), out.body.start())
 	if out.parent == nil {
 		return flo.attempts(ctx, out)
 	}
@@ -134,7 +134,7 @@
 	if out.keyed() {
 		// The published list decides, not what seems healthy: two nodes that see different hosts
 		// as healthy would otherwise run the key at two owners.
-		return route.Owner(dedup.NewKey(out.root.Tenant(), service, out.req.IdempotencyKey(), out.print).Rendezvous(), hostIDs(out.tar.sna, service)), nil
+		return route.Owner(dedup.NewKey(out.root.Team(), service, out.req.IdempotencyKey(), out.print).Rendezvous(), hostIDs(out.tar.sna, service)), nil
 	}
 	if out.suspect {
 		return flo.ownerOf(out), nil
--- a/core/coordination/flow/serve.go
+++ b/core/coordination/flow/serve.go
@@ -50,7 +50,7 @@
 // feedback returns unused budget, smallest fraction and load for the calling node.
 func (srv *serving) feedback() core.Feedback {
 	gat := srv.flo.set.Gate
-	fraction := min(srv.run.minFraction(), gat.Fraction(srv.rank, srv.call.Tenant()))
+	fraction := min(srv.run.minFraction(), gat.Fraction(srv.rank, srv.call.Team()))
 	return core.NewFeedback(srv.run.budget.Left(), fraction, srv.flo.Load(), srv.flo.Leaving())
 }
 
@@ -133,7 +133,7 @@
 	if cal.Idempotent() || cal.IdempotencyKey() == "" {
 		return nil
 	}
-	key := dedup.NewKey(cal.Tenant(), cal.Service(), cal.IdempotencyKey(), cal.Fingerprint())
+	key := dedup.NewKey(cal.Team(), cal.Service(), cal.IdempotencyKey(), cal.Fingerprint())
 	ver := srv.flo.set.Dedup.Begin(now, key)
 	if ver.Kind() != dedup.KindRun {
 		return ver.Refusal()
--- a/core/coordination/gate/gate.go
+++ b/core/coordination/gate/gate.go
@@ -68,9 +68,9 @@
 	return float64(gat.InFlight()+gat.Waiting()) / float64(max(gat.Limit(), 1))
 }
 
-// Fraction returns the part of the roots of a class and tenant that is admitted here.
-func (gat *Gate) Fraction(rank int, tenant string) float64 {
-	return gat.con.Fraction(time.Now(), rank, tenant)
+// Fraction returns the part of the roots of a class and team that is admitted here.
+func (gat *Gate) Fraction(rank int, team string) float64 {
+	return gat.con.Fraction(time.Now(), rank, team)
 }
 
 // Ticket is the right to send one call to the upstream; it must be given back by Leave.
@@ -102,8 +102,8 @@
 	if need := gat.need(gat.lim.InFlight()); late(cal, now, need) {
 		return nil, tooLate(cal, now, need)
 	}
-	if !gat.con.Arrive(now, rank, cal.Tenant(), cal.ID().Hash(), cal.Nested()) {
-		return nil, overloaded("the service has no capacity left for this class and tenant")
+	if !gat.con.Arrive(now, rank, cal.Team(), cal.ID().Hash(), cal.Nested()) {
+		return nil, overloaded("the service has no capacity left for this class and team")
 	}
 	if gat.pass() {
 		return &Ticket{gat: gat}, nil
@@ -138,7 +138,7 @@
 	wai := &waiter{since: now, ready: make(chan struct{})}
 	ent := admit.NewEntry(admit.EntrySpec{
 		Rank: rank, Nested: cal.Nested(), Deadline: cal.Deadline(), Value: wai,
-		Hash: gat.con.Order(rank, cal.Tenant(), cal.ID().Hash()),
+		Hash: gat.con.Order(rank, cal.Team(), cal.ID().Hash()),
 	})
 	gat.enqueue(ent, now)
 	patience := gat.patience(cal, now)
--- a/core/coordination/gate/gate_test.go
+++ b/core/coordination/gate/gate_test.go
@@ -23,7 +23,7 @@
 // entrance is what holds calls back before an upstream: the gate, or the naive version.
 type entrance interface {
 	enter(ctx context.Context, cal *core.Call) (leave func(own time.Duration, res limit.Result), err error)
-	fraction(rank int, tenant string) float64
+	fraction(rank int, team string) float64
 }
 
 type gated struct{ *gate.Gate }
@@ -36,7 +36,7 @@
 	return tic.Leave, nil
 }
 
-func (gtd gated) fraction(rank int, tenant string) float64 { return gtd.Fraction(rank, tenant) }
+func (gtd gated) fraction(rank int, team string) float64 { return gtd.Fraction(rank, team) }
 
 // naive has a fixed limit and an unbounded FIFO queue.
 type naive struct{ places chan struct{} }
@@ -70,12 +70,12 @@
 	return time.Since(start)
 }
 
-// stream is the load of one class and tenant.
+// stream is the load of one class and team.
 type stream struct {
-	rank   int
-	tenant string
-	rate   float64 // calls per second
-	until  time.Duration
+	rank  int
+	team  string
+	rate  float64 // calls per second
+	until time.Duration
 }
 
 // learned is what an entry node knows of one stream's fraction.
@@ -130,7 +130,7 @@
 
 func newCall(str stream, hash uint32, depth int, deadline time.Time) *core.Call {
 	rid := core.RootID{byte(hash >> 24), byte(hash >> 16), byte(hash >> 8), byte(hash)}
-	roo := core.NewRoot(core.RootSpec{ID: rid, Tenant: str.tenant, Rank: str.rank, Deadline: deadline})
+	roo := core.NewRoot(core.RootSpec{ID: rid, Team: str.team, Rank: str.rank, Deadline: deadline})
 	return core.NewCall(core.CallSpec{Root: roo, Depth: depth})
 }
 
@@ -159,13 +159,13 @@
 	defer cancel()
 	leave, err := ben.ent.enter(ctx, newCall(str, hash, 0, time.Now().Add(callTimeout)))
 	if err != nil {
-		lea.learn(ben.ent.fraction(str.rank, str.tenant))
+		lea.learn(ben.ent.fraction(str.rank, str.team))
 		ben.refused(str)
 		return
 	}
 	own := ben.ori.serve()
 	leave(own, limit.Success)
-	lea.learn(ben.ent.fraction(str.rank, str.tenant))
+	lea.learn(ben.ent.fraction(str.rank, str.team))
 	if ctx.Err() == nil {
 		ben.count(ben.answered, str, at)
 	}
@@ -200,7 +200,7 @@
 	return sum / most
 }
 
-// An important class is never refused while a less important one runs, a tenant within its fair part gets all
+// An important class is never refused while a less important one runs, a team within its fair part gets all
 // of its demand, the upstream stays busy, and refusals end within 2 s of the overload. The naive version
 // answers calls that nobody waits for any longer.
 func TestOverload(t *testing.T) {
@@ -222,7 +222,7 @@
 	base := run(func() entrance { return naive{make(chan struct{}, 750)} })
 	ben := run(func() entrance { return gated{gate.New(gate.Settings{Limit: limit.Settings{Max: 750}})} })
 	for name, ben := range map[string]*bench{"naive": base, "gate": ben} {
-		t.Logf("%s: goodput %.3f; served of rank 0 %.4f, modest tenant %.4f, surging tenants %.3f %.3f, rank 2 %.3f", name,
+		t.Logf("%s: goodput %.3f; served of rank 0 %.4f, modest team %.4f, surging teams %.3f %.3f, rank 2 %.3f", name,
 			ben.goodput(), ben.served(confirm), ben.served(modest),
 			ben.served(streams[2]), ben.served(streams[3]), ben.served(streams[4]))
 	}
@@ -233,7 +233,7 @@
 		t.Errorf("served of rank 0 is %.4f, want all", got)
 	}
 	if got := ben.served(modest); got < 0.95 {
-		t.Errorf("served of the modest tenant is %.4f, want 0.95", got)
+		t.Errorf("served of the modest team is %.4f, want 0.95", got)
 	}
 	for _, str := range streams {
 		if last := ben.lastRefusal[str]; last > surgeUntil+2*time.Second {
@@ -257,7 +257,7 @@
 		var order, evicted []string
 		enter := func(name string, rank, depth int, hash uint32) {
 			go func() {
-				tic, err := gat.Enter(t.Context(), newCall(stream{rank: rank, tenant: "a"}, hash, depth, time.Time{}), rank)
+				tic, err := gat.Enter(t.Context(), newCall(stream{rank: rank, team: "a"}, hash, depth, time.Time{}), rank)
 				if err != nil {
 					evicted = append(evicted, name+" "+string(core.AsRefusal(err).Reason())+" "+core.AsRefusal(err).Outcome().String())
 					return
@@ -469,7 +469,7 @@
 
 func BenchmarkEnterLeave(b *testing.B) {
 	newBenchGate := func() (*gate.Gate, *core.Call) {
-		return fixedGate(1<<20, 0), newCall(stream{tenant: "a"}, 1, 0, time.Now().Add(time.Hour))
+		return fixedGate(1<<20, 0), newCall(stream{team: "a"}, 1, 0, time.Now().Add(time.Hour))
 	}
 	visit := func(gat *gate.Gate, cal *core.Call) {
 		tic, err := gat.Enter(context.Background(), cal, 0)
--- a/core/coordination/member/member_test.go
+++ b/core/coordination/member/member_test.go
@@ -36,7 +36,7 @@
 		port := 7000 + 1000*int(id[0]-'a') + len(rows)
 		rows = append(rows, fmt.Sprintf(`{"id": %q, "domain": %q, "service": "s", "peer": "10.0.0.1:%d", "state": %q}`, id, id[:1], port, state))
 	}
-	dec, err := decl.Decode(fmt.Appendf(nil, `{"version": %d, "classes": [], "services": [], "tenants": [], "keys": [], "domains": [%s]}`,
+	dec, err := decl.Decode(fmt.Appendf(nil, `{"version": %d, "classes": [], "services": [], "teams": [], "keys": [], "domains": [%s]}`,
 		version, strings.Join(doms, ",")))
 	if err != nil {
 		t.Fatal(err)
--- a/core/coordination/share/convert.go
+++ b/core/coordination/share/convert.go
@@ -55,7 +55,7 @@
 	var out []quota.Loan
 	for _, loan := range grant.GetLoans() {
 		out = append(out, quota.Loan{
-			ID: loan.GetId(), Tenant: loan.GetTenant(), Share: loan.GetShare(), Tokens: loan.GetTokens(),
+			ID: loan.GetId(), Team: loan.GetTeam(), Share: loan.GetShare(), Tokens: loan.GetTokens(),
 			Term: time.Duration(loan.GetTermNanos()), Depth: int(loan.GetDepth()),
 		})
 	}
@@ -66,7 +66,7 @@
 	var out []*wire.Loan
 	for _, loan := range loans {
 		out = append(out, &wire.Loan{
-			Id: loan.ID, Tenant: loan.Tenant, Share: loan.Share, Tokens: loan.Tokens,
+			Id: loan.ID, Team: loan.Team, Share: loan.Share, Tokens: loan.Tokens,
 			TermNanos: int64(loan.Term), Depth: uint32(loan.Depth),
 		})
 	}
@@ -74,9 +74,9 @@
 }
 
 func wireWant(want quota.Want) *wire.Want {
-	return &wire.Want{Tenant: want.Tenant, Share: want.Share, Tokens: want.Tokens}
+	return &wire.Want{Team: want.Team, Share: want.Share, Tokens: want.Tokens}
 }
 
 func wantOf(want *wire.Want) quota.Want {
-	return quota.Want{Tenant: want.GetTenant(), Share: want.GetShare(), Tokens: want.GetTokens()}
+	return quota.Want{Team: want.GetTeam(), Share: want.GetShare(), Tokens: want.GetTokens()}
 }
--- a/core/coordination/share/doc.go
+++ b/core/coordination/share/doc.go
@@ -1,2 +1,2 @@
-// Package share keeps tenant rates and bursts across all hosts: it runs the contact of the host groups and the loans between their nodes.
+// Package share keeps team rates and bursts across all hosts: it runs the contact of the host groups and the loans between their nodes.
 package share
--- a/core/coordination/share/loans.go
+++ b/core/coordination/share/loans.go
@@ -41,7 +41,7 @@
 	maxRetryAfter = time.Second
 )
 
-// asking is the state of the asks for one tenant, of which one is in flight at a time.
+// asking is the state of the asks for one team, of which one is in flight at a time.
 type asking struct {
 	mu       sync.Mutex
 	done     chan struct{} // closed when the ask in flight ends
@@ -50,54 +50,54 @@
 	part     float64 // of the burst, wanted by the last ask
 }
 
-func (kee *Keeper) asking(tenant string) *asking {
-	val, _ := kee.asks.LoadOrStore(tenant, &asking{})
+func (kee *Keeper) asking(team string) *asking {
+	val, _ := kee.asks.LoadOrStore(team, &asking{})
 	return val.(*asking)
 }
 
-// Take takes one token of a tenant. It waits a few milliseconds for a loan when the local share has none, and returns
+// Take takes one token of a team. It waits a few milliseconds for a loan when the local share has none, and returns
 // a *core.Refusal when there is none to be had.
-func (kee *Keeper) Take(ctx context.Context, tenant string) error {
-	if kee.ledger.Take(time.Now(), tenant) {
+func (kee *Keeper) Take(ctx context.Context, team string) error {
+	if kee.ledger.Take(time.Now(), team) {
 		return nil
 	}
-	if _, ok := kee.ledger.Declared(tenant); !ok {
-		return core.NewRefusal(core.ReasonRateExceeded, core.OutcomeNotRun, "the tenant is not declared")
+	if _, ok := kee.ledger.Declared(team); !ok {
+		return core.NewRefusal(core.ReasonRateExceeded, core.OutcomeNotRun, "the team is not declared")
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeWait)
 	defer cancel()
 	for {
-		done := kee.ask(tenant)
+		done := kee.ask(team)
 		if done == nil {
-			return kee.refuse(tenant)
+			return kee.refuse(team)
 		}
 		select {
 		case <-done:
 		case <-ctx.Done():
-			if kee.ledger.Retry(time.Now(), tenant) {
+			if kee.ledger.Retry(time.Now(), team) {
 				return nil
 			}
-			return kee.refuse(tenant)
+			return kee.refuse(team)
 		}
-		if kee.ledger.Retry(time.Now(), tenant) {
+		if kee.ledger.Retry(time.Now(), team) {
 			return nil
 		}
 	}
 }
 
-func (kee *Keeper) refuse(tenant string) error {
-	after := kee.ledger.RetryAfter(time.Now(), tenant, maxRetryAfter)
-	return core.NewRefusal(core.ReasonRateExceeded, core.OutcomeNotRun, "no token is left for the tenant on this host").After(after)
+func (kee *Keeper) refuse(team string) error {
+	after := kee.ledger.RetryAfter(time.Now(), team, maxRetryAfter)
+	return core.NewRefusal(core.ReasonRateExceeded, core.OutcomeNotRun, "no token is left for the team on this host").After(after)
 }
 
 // ask starts an ask for tokens, or joins the one in flight; nil means that asking is of no use now.
-func (kee *Keeper) ask(tenant string) <-chan struct{} {
-	ten, declared := kee.ledger.Declared(tenant)
+func (kee *Keeper) ask(team string) <-chan struct{} {
+	tea, declared := kee.ledger.Declared(team)
 	if !declared {
 		return nil
 	}
 	now := time.Now()
-	ask := kee.asking(tenant)
+	ask := kee.asking(team)
 	ask.mu.Lock()
 	defer ask.mu.Unlock()
 	if ask.done != nil {
@@ -111,7 +111,7 @@
 	}
 	ask.part = min(1, askGrowth*ask.part)
 	ask.lastAt = now
-	want, _ := kee.ledger.Shortage(now, tenant, max(1, ask.part*ten.Burst))
+	want, _ := kee.ledger.Shortage(now, team, max(1, ask.part*tea.Burst))
 	return kee.start(ask, want, kee.askAny)
 }
 
@@ -139,7 +139,7 @@
 
 // askAny asks the broker of the own group, or other brokers if this node is the broker.
 func (kee *Keeper) askAny(ctx context.Context, want quota.Want) int {
-	broker := kee.broker(want.Tenant, kee.layout.Load().own)
+	broker := kee.broker(want.Team, kee.layout.Load().own)
 	if broker == kee.set.Host || broker == "" {
 		return kee.askBrokers(ctx, want)
 	}
@@ -164,11 +164,11 @@
 // askBrokers asks the brokers of a few other groups and returns with the first grant, or after brokerWait. A broker that
 // is cut off must not hold up what others grant; later grants are taken in when they arrive.
 func (kee *Keeper) askBrokers(ctx context.Context, want quota.Want) int {
-	if ten, _ := kee.ledger.Declared(want.Tenant); want.Tokens > 0 {
+	if tea, _ := kee.ledger.Declared(want.Team); want.Tokens > 0 {
 		// A burst needs all it can get in one round trip; what it leaves goes back at once.
-		want.Tokens = ten.Burst
+		want.Tokens = tea.Burst
 	}
-	brokers := kee.otherBrokers(want.Tenant)
+	brokers := kee.otherBrokers(want.Team)
 	grants := make(chan int, len(brokers))
 	for _, broker := range brokers {
 		kee.tasks.Go(func() {
@@ -190,9 +190,9 @@
 	return 0
 }
 
-// broker returns the first reachable host of a group by rendezvous hashing of the tenant.
-func (kee *Keeper) broker(tenant string, members []string) string {
-	for _, host := range decl.Ranked(tenant, members) {
+// broker returns the first reachable host of a group by rendezvous hashing of the team.
+func (kee *Keeper) broker(team string, members []string) string {
+	for _, host := range decl.Ranked(team, members) {
 		if host == kee.set.Host {
 			return host
 		}
@@ -204,7 +204,7 @@
 }
 
 // otherBrokers returns brokers of other groups, those of the own failure domain first.
-func (kee *Keeper) otherBrokers(tenant string) []string {
+func (kee *Keeper) otherBrokers(team string) []string {
 	lay := kee.layout.Load()
 	var out []string
 	for _, groups := range [][][]string{lay.near, lay.remote} {
@@ -212,7 +212,7 @@
 			if len(out) == maxAsked {
 				return out
 			}
-			if host := kee.broker(tenant, groups[i]); host != "" {
+			if host := kee.broker(team, groups[i]); host != "" {
 				out = append(out, host)
 			}
 		}
@@ -226,7 +226,7 @@
 	return kee.rng.Perm(n)
 }
 
-// pull asks a member of the own group for idle shares of the tenants whose broker this node is, and for renewals.
+// pull asks a member of the own group for idle shares of the teams whose broker this node is, and for renewals.
 func (kee *Keeper) pull(host string) *wire.LoanRequest {
 	lay := kee.layout.Load()
 	if !slices.Contains(lay.own, host) {
@@ -235,8 +235,8 @@
 	now := time.Now()
 	msg := &wire.LoanRequest{Renew: kee.ledger.Held(now, now.Add(quota.LoanTerm))[host]}
 	for _, sta := range kee.ledger.Status(now) {
-		if kee.broker(sta.Tenant, lay.own) == kee.set.Host {
-			msg.Wants = append(msg.Wants, &wire.Want{Tenant: sta.Tenant, Share: 1})
+		if kee.broker(sta.Team, lay.own) == kee.set.Host {
+			msg.Wants = append(msg.Wants, &wire.Want{Team: sta.Team, Share: 1})
 		}
 	}
 	if len(msg.Wants) == 0 && len(msg.Renew) == 0 {
@@ -287,7 +287,7 @@
 // lacking returns what a grant left open of a want, and whether it brought anything.
 func lacking(want quota.Want, grant *wire.LoanGrant) (rest quota.Want, got bool) {
 	for _, loan := range grant.GetLoans() {
-		if loan.GetTenant() == want.Tenant {
+		if loan.GetTeam() == want.Team {
 			want.Share -= loan.GetShare()
 			want.Tokens -= loan.GetTokens()
 			got = true
@@ -296,9 +296,9 @@
 	return want, got
 }
 
-// fetch asks other brokers on behalf of a host, one ask per tenant at a time; nil means that asking is of no use now.
+// fetch asks other brokers on behalf of a host, one ask per team at a time; nil means that asking is of no use now.
 func (kee *Keeper) fetch(want quota.Want) <-chan struct{} {
-	ask := kee.asking(want.Tenant)
+	ask := kee.asking(want.Team)
 	ask.mu.Lock()
 	defer ask.mu.Unlock()
 	if ask.done != nil {
@@ -326,7 +326,7 @@
 	}
 	lay := kee.layout.Load()
 	for _, want := range kee.ledger.Shortages(now) {
-		broker := kee.broker(want.Tenant, lay.own)
+		broker := kee.broker(want.Team, lay.own)
 		if broker == kee.set.Host || broker == "" {
 			kee.fetch(want)
 			continue
@@ -342,8 +342,8 @@
 func (kee *Keeper) giveBack(ctx context.Context) {
 	now := time.Now()
 	lay := kee.layout.Load()
-	pool := func(tenant, lender string) bool {
-		return slices.Contains(lay.own, lender) && kee.broker(tenant, lay.own) == kee.set.Host
+	pool := func(team, lender string) bool {
+		return slices.Contains(lay.own, lender) && kee.broker(team, lay.own) == kee.set.Host
 	}
 	for lender, loans := range kee.ledger.Return(now, pool) {
 		msg := &wire.LoanOffer{Returned: wireLoans(loans)}
--- a/core/coordination/share/share.go
+++ b/core/coordination/share/share.go
@@ -61,7 +61,7 @@
 	set    Settings
 	ledger *quota.Ledger
 	layout atomic.Pointer[layout]
-	asks   sync.Map // tenant to *asking
+	asks   sync.Map // team to *asking
 	tasks  sync.WaitGroup
 	jobs   chan func(context.Context) // work that outlives the request that caused it
 
@@ -90,11 +90,11 @@
 	now := time.Now()
 	kee.layout.Store(kee.newLayout(sna))
 	kee.updateLeases(now, sna)
-	var tenants []quota.Tenant
-	for name, ten := range sna.Tenants() {
-		tenants = append(tenants, quota.Tenant{Name: name, Rate: ten.Rate(), Burst: ten.Burst()})
+	var teams []quota.Team
+	for name, tea := range sna.Teams() {
+		teams = append(teams, quota.Team{Name: name, Rate: tea.Rate(), Burst: tea.Burst()})
 	}
-	kee.ledger.SetTenants(now, tenants)
+	kee.ledger.SetTeams(now, teams)
 }
 
 func (kee *Keeper) updateLeases(now time.Time, sna *decl.Snapshot) {
@@ -338,13 +338,13 @@
 	Superseded      bool    // a later process of this host is known
 	Majority        bool
 	ServiceMajority bool
-	Tenants         []quota.Status
+	Teams           []quota.Status
 }
 
 // Status returns plain data for the status page.
 func (kee *Keeper) Status() Status {
 	now := time.Now()
-	sta := Status{Tenants: kee.ledger.Status(now), Share: kee.Share(), Majority: kee.Majority(), ServiceMajority: kee.ServiceMajority()}
+	sta := Status{Teams: kee.ledger.Status(now), Share: kee.Share(), Majority: kee.Majority(), ServiceMajority: kee.ServiceMajority()}
 	kee.mu.Lock()
 	defer kee.mu.Unlock()
 	if len(kee.plans) == 0 {
--- a/core/coordination/share/share_test.go
+++ b/core/coordination/share/share_test.go
@@ -167,7 +167,7 @@
 
 func hostName(d, h int) string { return fmt.Sprintf("%s-%02d", domainName(d), h) }
 
-func (fab *fabric) snapshot(t *testing.T, version, domains int, tenants ...string) *decl.Snapshot {
+func (fab *fabric) snapshot(t *testing.T, version, domains int, teams ...string) *decl.Snapshot {
 	var doms, hosts, tens []string
 	for d := range domains {
 		doms = append(doms, fmt.Sprintf(`{"name": %q, "region": "r", "state": "in"}`, domainName(d)))
@@ -176,10 +176,10 @@
 		hosts = append(hosts, fmt.Sprintf(`{"id": %q, "domain": %q, "service": %q, "peer": "127.0.0.1:%d", "state": "live"}`,
 			host, domain, fab.services[host], 1000+len(hosts)))
 	}
-	for _, name := range tenants {
+	for _, name := range teams {
 		tens = append(tens, fmt.Sprintf(`{"name": %q, "rate": %v, "burst": %v}`, name, rate, burst))
 	}
-	dec, err := decl.Decode(fmt.Appendf(nil, `{"version": %d, "classes": [], "services": [], "keys": [], "tenants": [%s], "domains": [%s]}`,
+	dec, err := decl.Decode(fmt.Appendf(nil, `{"version": %d, "classes": [], "services": [], "keys": [], "teams": [%s], "domains": [%s]}`,
 		version, strings.Join(tens, ","), strings.Join(doms, ",")))
 	if err != nil {
 		t.Fatal(err)
@@ -290,7 +290,7 @@
 	tal.wait.Wait()
 }
 
-// Guards against refusals within the rate where a tenant's demand is not spread evenly, and against admissions above it.
+// Guards against refusals within the rate where a team's demand is not spread evenly, and against admissions above it.
 func TestWrongfulRefusals(t *testing.T) {
 	const limitSteady = 0.001
 	first := func(time.Duration) string { return hostName(0, 0) }
@@ -435,7 +435,7 @@
 			fab.flood(after, 10*time.Second, hostName(0, 0))
 			return after
 		}},
-		{"revoked tenant gets nothing", 0, 0, func(t *testing.T, fab *fabric, tal *tally) *tally {
+		{"revoked team gets nothing", 0, 0, func(t *testing.T, fab *fabric, tal *tally) *tally {
 			fab.flood(tal, time.Second, all(fab)...)
 			fab.update(fab.snapshot(t, 2, 3, "verona"))
 			after := &tally{}
--- a/core/coordination/spread/fleet_test.go
+++ b/core/coordination/spread/fleet_test.go
@@ -224,7 +224,7 @@
 	for i := range domains {
 		rows = append(rows, fmt.Sprintf(`{"name": "domain-%d", "region": "region-%d", "state": "in"}`, i, i/3))
 	}
-	text := fmt.Sprintf(`{"version": %d, "classes": [], "services": [], "tenants": [], "keys": [], "domains": [%s]}`,
+	text := fmt.Sprintf(`{"version": %d, "classes": [], "services": [], "teams": [], "keys": [], "domains": [%s]}`,
 		version, strings.Join(rows, ","))
 	return core.NewDocument(core.DocumentDeclarations, version, []byte(text))
 }
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -81,7 +81,7 @@
 	ReasonUnknownRoute:    {http.StatusNotFound, "use a method and path that the service declares"},
 	ReasonKeyMissing:      {http.StatusUnauthorized, "send Authorization: Bearer KEY"},
 	ReasonKeyUnknown:      {http.StatusUnauthorized, "ask the operators for a valid key"},
-	ReasonRateExceeded:    {http.StatusTooManyRequests, "send at most the tenant's rate, or ask for a higher one"},
+	ReasonRateExceeded:    {http.StatusTooManyRequests, "send at most the team's rate, or ask for a higher one"},
 	ReasonOverload:        {http.StatusServiceUnavailable, "retry after a pause"},
 	ReasonDeadline:        {http.StatusGatewayTimeout, "allow more time in Request-Timeout"},
 	ReasonCancelled:       {499, "keep the connection open until the answer arrives"},
--- a/core/request.go
+++ b/core/request.go
@@ -94,9 +94,9 @@
 // Observer counts what the request path decides; it must be safe for concurrent use.
 type Observer interface {
 	// Served reports a whole answer to a root request or nested call.
-	Served(class, tenant string, nested bool, took time.Duration)
+	Served(class, team string, nested bool, took time.Duration)
 	// Refused reports a request that got a refusal instead of an answer.
-	Refused(reason Reason, class, tenant string)
+	Refused(reason Reason, class, team string)
 	// Retried reports one more attempt of a call.
 	Retried(class string)
 }
--- a/core/state/admit/admit.go
+++ b/core/state/admit/admit.go
@@ -13,7 +13,7 @@
 )
 
 // Each window the controller divides a level, the calls per window that the node lets through, among the
-// demands of classes and tenants. Two rules keep it right although the entry nodes already refuse roots by
+// demands of classes and teams. Two rules keep it right although the entry nodes already refuse roots by
 // the fractions that they learned from here:
 //
 // Demand is measured, not what still arrives. The hashes of roots are uniform, so the arrivals below the
@@ -24,23 +24,23 @@
 // capacity while there is more work than places; at other times they show the demand.
 
 const (
-	windowTime     = 100 * time.Millisecond
-	maxWindows     = 20   // windows without any event that are caught up one by one
-	maxEntries     = 4096 // classes times tenants; more share one entry for each class
-	idleWindows    = 50   // windows without arrivals after which an entry is dropped
-	silentWindows  = 7    // a little longer than the 500 ms for which entry nodes keep a fraction
-	demandWeight   = 0.3  // weight of a window in the smoothed demand
-	hiddenDecay    = 0.95 // per window, of a demand that is refused wholly and so cannot be measured
-	fallWeight     = 0.3  // weight of a window with fewer completions in the smoothed capacity
-	riseWeight     = 0.6  // weight of a window with more completions; they prove capacity
-	leastFraction  = 0.01 // a smaller one is taken for 0, because one arrival below it would show a huge demand
-	pressure       = 1.05 // level over capacity; the queue always has a call for a free place
-	firstStep      = 1.15 // first raise of the level after an overload
-	maxStep        = 2.0  // largest raise of the level per window
-	minLevel       = 1    // calls per window; lets the level rise again after a window without completions
-	calmWindows    = 5    // windows without overload and with room for all demand that end the overload
-	overloadShare  = 0.1  // part of the completions in a window that must have met overload
-	overflowTenant = "\x00overflow"
+	windowTime    = 100 * time.Millisecond
+	maxWindows    = 20   // windows without any event that are caught up one by one
+	maxEntries    = 4096 // classes times teams; more share one entry for each class
+	idleWindows   = 50   // windows without arrivals after which an entry is dropped
+	silentWindows = 7    // a little longer than the 500 ms for which entry nodes keep a fraction
+	demandWeight  = 0.3  // weight of a window in the smoothed demand
+	hiddenDecay   = 0.95 // per window, of a demand that is refused wholly and so cannot be measured
+	fallWeight    = 0.3  // weight of a window with fewer completions in the smoothed capacity
+	riseWeight    = 0.6  // weight of a window with more completions; they prove capacity
+	leastFraction = 0.01 // a smaller one is taken for 0, because one arrival below it would show a huge demand
+	pressure      = 1.05 // level over capacity; the queue always has a call for a free place
+	firstStep     = 1.15 // first raise of the level after an overload
+	maxStep       = 2.0  // largest raise of the level per window
+	minLevel      = 1    // calls per window; lets the level rise again after a window without completions
+	calmWindows   = 5    // windows without overload and with room for all demand that end the overload
+	overloadShare = 0.1  // part of the completions in a window that must have met overload
+	overflowTeam  = "\x00overflow"
 )
 
 // Settings configures a Controller; zero fields take defaults.
@@ -49,11 +49,11 @@
 }
 
 type key struct {
-	rank   int
-	tenant string
+	rank int
+	team string
 }
 
-// entry counts the calls of one class and tenant.
+// entry counts the calls of one class and team.
 type entry struct {
 	key
 	within  atomic.Int64  // arrivals below the fraction in this window
@@ -76,7 +76,7 @@
 }
 
 // Controller divides the capacity of an upstream by class order and, in the class that fits only in part,
-// by max-min fairness among tenants. It is safe for concurrent use; arrivals take no lock.
+// by max-min fairness among teams. It is safe for concurrent use; arrivals take no lock.
 type Controller struct {
 	window   time.Duration
 	entries  atomic.Pointer[map[key]*entry]
@@ -107,9 +107,9 @@
 
 // Arrive counts a call and says whether it is admitted. Nested calls are admitted by the same fraction as new
 // ones, so that all hops of a chain shed the same roots.
-func (con *Controller) Arrive(now time.Time, rank int, tenant string, hash uint32, _ bool) bool {
+func (con *Controller) Arrive(now time.Time, rank int, team string, hash uint32, _ bool) bool {
 	con.roll(now)
-	ent := con.entry(key{rank, tenant})
+	ent := con.entry(key{rank, team})
 	if below(hash, ent.fraction()) {
 		ent.within.Add(1)
 		return true
@@ -134,16 +134,16 @@
 	}
 }
 
-// Fraction returns the part of the roots of a class and tenant that is admitted.
-func (con *Controller) Fraction(now time.Time, rank int, tenant string) float64 {
+// Fraction returns the part of the roots of a class and team that is admitted.
+func (con *Controller) Fraction(now time.Time, rank int, team string) float64 {
 	con.roll(now)
-	if ent, ok := (*con.entries.Load())[key{rank, tenant}]; ok {
+	if ent, ok := (*con.entries.Load())[key{rank, team}]; ok {
 		return ent.fraction()
 	}
 	return con.unknown(rank)
 }
 
-// unknown returns the fraction of a class and tenant without arrivals. A new tenant of the class that fits
+// unknown returns the fraction of a class and team without arrivals. A new team of the class that fits
 // in part is taken for one that asks for less than its fair part.
 func (con *Controller) unknown(rank int) float64 {
 	if int64(rank) > con.marginal.Load() {
@@ -152,10 +152,10 @@
 	return 1
 }
 
-// Order maps a hash to a place in the queue: calls of tenants within their fair part go first, and among
-// those of one tenant the order of the hashes stays.
-func (con *Controller) Order(rank int, tenant string, hash uint32) uint32 {
-	ent, ok := (*con.entries.Load())[key{rank, tenant}]
+// Order maps a hash to a place in the queue: calls of teams within their fair part go first, and among
+// those of one team the order of the hashes stays.
+func (con *Controller) Order(rank int, team string, hash uint32) uint32 {
+	ent, ok := (*con.entries.Load())[key{rank, team}]
 	if !ok || !ent.limited.Load() {
 		return hash / 2
 	}
@@ -164,8 +164,8 @@
 	return uint32(half + min(part*half, half-1))
 }
 
-// Tenants returns how many entries of classes and tenants are kept.
-func (con *Controller) Tenants() int { return len(*con.entries.Load()) }
+// Teams returns how many entries of classes and teams are kept.
+func (con *Controller) Teams() int { return len(*con.entries.Load()) }
 
 func (con *Controller) entry(id key) *entry {
 	if ent, ok := (*con.entries.Load())[id]; ok {
@@ -182,7 +182,7 @@
 		return ent
 	}
 	if len(old) >= maxEntries {
-		id.tenant = overflowTenant
+		id.team = overflowTeam
 		if ent, ok := old[id]; ok {
 			return ent
 		}
@@ -333,8 +333,8 @@
 	}
 }
 
-// share divides a level by max-min fairness among the tenants of a class, in order of their demands, and
-// returns what is left. A tenant that asks for less than its fair part gets all of it.
+// share divides a level by max-min fairness among the teams of a class, in order of their demands, and
+// returns what is left. A team that asks for less than its fair part gets all of it.
 func share(class []*entry, level float64) float64 {
 	for i, ent := range class {
 		fair := level / float64(len(class)-i)
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -17,10 +17,10 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-// flow is the demand of one class and tenant, in calls per window.
+// flow is the demand of one class and team, in calls per window.
 type flow struct {
 	rank   int
-	tenant string
+	team   string
 	demand int
 }
 
@@ -43,15 +43,15 @@
 	hop.admitted, hop.refused = map[flow]int{}, map[flow]int{}
 	total := 0
 	for _, flo := range flows {
-		// Entry nodes refuse nine of ten roots beyond the fraction; the others have not learned it yet.
-		known := hop.con.Fraction(hop.now, flo.rank, flo.tenant)
+		// Entry nodes refuse nine of tea roots beyond the fraction; the others have not learned it yet.
+		known := hop.con.Fraction(hop.now, flo.rank, flo.team)
 		for i := range flo.demand {
 			hash := uint32((2*uint64(i) + 1) * core.HashSpace / (2 * uint64(flo.demand)))
 			if float64(hash) >= known*core.HashSpace && i%10 != 0 {
 				hop.refused[flo]++
 				continue
 			}
-			if hop.con.Arrive(hop.now, flo.rank, flo.tenant, hash, i%2 == 0) {
+			if hop.con.Arrive(hop.now, flo.rank, flo.team, hash, i%2 == 0) {
 				hop.admitted[flo]++
 				total++
 				continue
@@ -68,7 +68,7 @@
 }
 
 // divide is the expected division of a level: strict class order, max-min fairness by raising the part of
-// every tenant of the marginal class by small steps.
+// every team of the marginal class by small steps.
 func divide(flows []flow, level float64) map[flow]float64 {
 	got := map[flow]float64{}
 	for rank := range ranks {
@@ -100,9 +100,9 @@
 func drawFlows(rt *rapid.T) []flow {
 	var flows []flow
 	for rank := range ranks {
-		for ten := range rapid.IntRange(1, 4).Draw(rt, "tenants") {
+		for tea := range rapid.IntRange(1, 4).Draw(rt, "teams") {
 			demand := rapid.IntRange(10, 400).Draw(rt, "demand")
-			flows = append(flows, flow{rank, fmt.Sprintf("t%d", ten), demand})
+			flows = append(flows, flow{rank, fmt.Sprintf("t%d", tea), demand})
 		}
 	}
 	return flows
@@ -166,20 +166,20 @@
 		hop.orderKept(rt)
 	}
 	for _, flo := range flows {
-		if got := hop.con.Fraction(hop.now.Add(window), flo.rank, flo.tenant); got != 1 {
+		if got := hop.con.Fraction(hop.now.Add(window), flo.rank, flo.team); got != 1 {
 			rt.Fatalf("fraction of %v is %.3f 2 s after the overload, want 1", flo, got)
 		}
 	}
 }
 
-// A tenant or class without arrivals so far must not pass by the order of the classes.
-func TestNewTenantsUnderOverload(t *testing.T) {
+// A team or class without arrivals so far must not pass by the order of the classes.
+func TestNewTeamsUnderOverload(t *testing.T) {
 	hop := newHop(100)
 	flows := []flow{{0, "a", 60}, {1, "a", 300}, {2, "a", 300}}
 	for range 40 {
 		hop.step(flows)
 	}
-	// A silent tenant of the least class, known from before.
+	// A silent team of the least class, known from before.
 	for range 10 {
 		hop.step(flows[:2])
 	}
@@ -213,7 +213,7 @@
 		for _, hash := range hashes {
 			all := true
 			for i, hop := range hops {
-				ok := hop.con.Arrive(hop.now, flo.rank, flo.tenant, hash, i == 1)
+				ok := hop.con.Arrive(hop.now, flo.rank, flo.team, hash, i == 1)
 				all = all && ok
 				if ok {
 					counts[i]++
@@ -227,28 +227,28 @@
 			rt.Fatalf("roots that survive both hops (-want +got):\n%s", diff)
 		}
 		for i, hash := range hashes[1:] {
-			if hops[0].con.Order(flo.rank, flo.tenant, hashes[i]) > hops[0].con.Order(flo.rank, flo.tenant, hash) {
+			if hops[0].con.Order(flo.rank, flo.team, hashes[i]) > hops[0].con.Order(flo.rank, flo.team, hash) {
 				rt.Fatalf("queue order changes the order of hashes %d and %d", hashes[i], hash)
 			}
 		}
 	})
 }
 
-// Tenants come from callers; a flood of them must not fill the memory.
+// Teams come from callers; a flood of them must not fill the memory.
 func TestStateIsBounded(t *testing.T) {
 	con := admit.NewController(admit.Settings{})
 	const most = 4096 + 1 // and the entry that the rest of the class shares
 	for i := range 3 * most {
 		con.Arrive(epoch, 0, fmt.Sprint(i), 0, false)
 	}
-	if diff := cmp.Diff(most, con.Tenants()); diff != "" {
+	if diff := cmp.Diff(most, con.Teams()); diff != "" {
 		t.Errorf("entries (-want +got):\n%s", diff)
 	}
 	con.Completed(epoch.Add(window))
 	for i := range 10 {
 		con.Completed(epoch.Add(time.Duration(i) * time.Second))
 	}
-	if diff := cmp.Diff(0, con.Tenants()); diff != "" {
+	if diff := cmp.Diff(0, con.Teams()); diff != "" {
 		t.Errorf("entries after 10 s without arrivals (-want +got):\n%s", diff)
 	}
 }
--- a/core/state/crash/print.go
+++ b/core/state/crash/print.go
@@ -11,10 +11,10 @@
 const bodyPrefix = 4 << 10
 
 // Fingerprint returns the digest of what requests that are alike have in common; path includes the query.
-func Fingerprint(tenant, service, method, path string, body []byte) core.Fingerprint {
+func Fingerprint(team, service, method, path string, body []byte) core.Fingerprint {
 	sum := sha256.New()
 	var size [4]byte
-	for _, part := range [...]string{tenant, service, method, path} {
+	for _, part := range [...]string{team, service, method, path} {
 		// The length keeps two different requests from having one text.
 		binary.BigEndian.PutUint32(size[:], uint32(len(part)))
 		sum.Write(size[:])
--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -104,34 +104,34 @@
 	return strings.HasPrefix(seg, "{") && strings.HasSuffix(seg, "}")
 }
 
-// Tenant is a customer team with a rate and a burst that count across all hosts.
-type Tenant struct {
+// Team is a group of callers with a rate and a burst that count across all hosts.
+type Team struct {
 	name  string
 	rate  float64
 	burst float64
 }
 
 // Name returns the declared name.
-func (ten *Tenant) Name() string { return ten.name }
+func (tea *Team) Name() string { return tea.name }
 
 // Rate returns the requests per second across all hosts.
-func (ten *Tenant) Rate() float64 { return ten.rate }
+func (tea *Team) Rate() float64 { return tea.rate }
 
 // Burst returns the requests at once across all hosts.
-func (ten *Tenant) Burst() float64 { return ten.burst }
+func (tea *Team) Burst() float64 { return tea.burst }
 
-// Key is a credential of a tenant, known only by its digest.
+// Key is a credential of a team, known only by its digest.
 type Key struct {
 	id     string
-	tenant *Tenant
+	team   *Team
 	digest [sha256.Size]byte
 }
 
 // ID returns the declared identifier, which is not secret.
 func (key *Key) ID() string { return key.id }
 
-// Tenant returns the tenant that the key proves.
-func (key *Key) Tenant() *Tenant { return key.tenant }
+// Team returns the team that the key proves.
+func (key *Key) Team() *Team { return key.team }
 
 // Domain is a failure domain.
 type Domain struct {
@@ -158,7 +158,7 @@
 	version  uint64
 	classes  []*Class
 	services map[string]*Service
-	tenants  map[string]*Tenant
+	teams    map[string]*Team
 	keys     map[[sha256.Size]byte]*Key
 	keyIDs   map[string]*Key
 	domains  map[string]*Domain
@@ -184,11 +184,11 @@
 // Service returns a service by name, or nil.
 func (dec *Declarations) Service(name string) *Service { return dec.services[name] }
 
-// Tenant returns a tenant by name, or nil.
-func (dec *Declarations) Tenant(name string) *Tenant { return dec.tenants[name] }
+// Team returns a team by name, or nil.
+func (dec *Declarations) Team(name string) *Team { return dec.teams[name] }
 
-// Tenants returns all tenants by name.
-func (dec *Declarations) Tenants() map[string]*Tenant { return dec.tenants }
+// Teams returns all teams by name.
+func (dec *Declarations) Teams() map[string]*Team { return dec.teams }
 
 // KeyOf returns the key that a caller presented, or nil when it is unknown or revoked.
 func (dec *Declarations) KeyOf(secret string) *Key { return dec.keys[sha256.Sum256([]byte(secret))] }
@@ -214,14 +214,14 @@
 		return nil, err
 	}
 	dec := &Declarations{
-		services: map[string]*Service{}, tenants: map[string]*Tenant{}, domains: map[string]*Domain{},
+		services: map[string]*Service{}, teams: map[string]*Team{}, domains: map[string]*Domain{},
 		keys: map[[sha256.Size]byte]*Key{}, keyIDs: map[string]*Key{},
 	}
-	if rea.known(root, "version", "classes", "services", "tenants", "keys", "domains") {
+	if rea.known(root, "version", "classes", "services", "teams", "keys", "domains") {
 		dec.version = rea.version(root)
 		dec.readClasses(rea, root)
 		dec.readServices(rea, root)
-		dec.readTenants(rea, root)
+		dec.readTeams(rea, root)
 		dec.readKeys(rea, root)
 		dec.readDomains(rea, root)
 	}
@@ -355,33 +355,33 @@
 	return rou
 }
 
-func (dec *Declarations) readTenants(rea *reader, root *node) {
+func (dec *Declarations) readTeams(rea *reader, root *node) {
 	seen := map[string]bool{}
-	for _, nod := range rea.items(root, "tenants") {
+	for _, nod := range rea.items(root, "teams") {
 		if !rea.known(nod, "name", "rate", "burst") {
 			continue
 		}
-		ten := &Tenant{name: rea.text(nod, "name"), rate: rea.positive(nod, "rate"), burst: rea.positive(nod, "burst")}
-		rea.unique(seen, nod, ten.name)
-		if child := nod.fields["burst"]; child != nil && ten.burst < 1 {
+		tea := &Team{name: rea.text(nod, "name"), rate: rea.positive(nod, "rate"), burst: rea.positive(nod, "burst")}
+		rea.unique(seen, nod, tea.name)
+		if child := nod.fields["burst"]; child != nil && tea.burst < 1 {
 			rea.faultAt(child, "is below 1", "allow at least one request at once")
 		}
-		dec.tenants[ten.name] = ten
+		dec.teams[tea.name] = tea
 	}
 }
 
 func (dec *Declarations) readKeys(rea *reader, root *node) {
 	seen := map[string]bool{}
 	for _, nod := range rea.items(root, "keys") {
-		if !rea.known(nod, "id", "tenant", "sha256") {
+		if !rea.known(nod, "id", "team", "sha256") {
 			continue
 		}
 		key := &Key{id: rea.text(nod, "id")}
 		rea.unique(seen, nod, key.id)
-		name := rea.text(nod, "tenant")
-		key.tenant = dec.tenants[name]
-		if name != "" && key.tenant == nil {
-			rea.faultAt(nod.fields["tenant"], fmt.Sprintf("names the undeclared tenant %q", name), "declare it or use a declared tenant")
+		name := rea.text(nod, "team")
+		key.team = dec.teams[name]
+		if name != "" && key.team == nil {
+			rea.faultAt(nod.fields["team"], fmt.Sprintf("names the undeclared team %q", name), "declare it or use a declared team")
 		}
 		digest := rea.text(nod, "sha256")
 		raw, err := hex.DecodeString(digest)
--- a/core/state/decl/decl_test.go
+++ b/core/state/decl/decl_test.go
@@ -27,8 +27,8 @@
     {"method": "GET", "path": "/prints/{id}", "class": "read", "idempotent": true},
     {"method": "GET", "path": "/prints/all", "class": "read", "idempotent": true, "open": true},
     {"method": "POST", "path": "/prints", "class": "confirm"}]}],
-  "tenants": [{"name": "verona", "rate": 200, "burst": 400}],
-  "keys": [{"id": "verona-1", "tenant": "verona", "sha256": %q}],
+  "teams": [{"name": "verona", "rate": 200, "burst": 400}],
+  "keys": [{"id": "verona-1", "team": "verona", "sha256": %q}],
   "domains": [{"name": "nord-a", "region": "it", "state": "in"}]
 }`, digest("secret"))
 	if change != nil {
@@ -47,10 +47,10 @@
 		"first class":   dec.Classes()[0].Name(),
 		"literal first": ser.Match("GET", "/prints/all").Pattern(),
 		"wildcard":      ser.Match("GET", "/prints/9").Pattern(),
-		"tenant of key": dec.KeyOf("secret").Tenant().Name(),
+		"team of key":   dec.KeyOf("secret").Team().Name(),
 	}
 	want := map[string]string{
-		"first class": "confirm", "literal first": "/prints/all", "wildcard": "/prints/{id}", "tenant of key": "verona",
+		"first class": "confirm", "literal first": "/prints/all", "wildcard": "/prints/{id}", "team of key": "verona",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("index (-want +got):\n%s", diff)
@@ -65,13 +65,13 @@
 	tests := []struct {
 		name, old, replacement, want string
 	}{
-		{"unknown field", `"rate": 200`, `"rate": 200, "weight": 3`, "line 10: tenants[0].weight: is not a known field"},
+		{"unknown field", `"rate": 200`, `"rate": 200, "weight": 3`, "line 10: teams[0].weight: is not a known field"},
 		{"dangling class", `"class": "confirm"`, `"class": "gold"`, `line 9: services[0].routes[2].class: names the undeclared class "gold"`},
-		{"dangling tenant", `"tenant": "verona"`, `"tenant": "torino"`, `line 11: keys[0].tenant: names the undeclared tenant "torino"`},
+		{"dangling team", `"team": "verona"`, `"team": "torino"`, `line 11: keys[0].team: names the undeclared team "torino"`},
 		{"duplicate class", `"name": "read"`, `"name": "confirm"`, `line 5: classes[1]: repeats "confirm"`},
-		{"duplicate field", `"burst": 400`, `"burst": 400, "burst": 5`, "line 10: tenants[0].burst: is given twice"},
+		{"duplicate field", `"burst": 400`, `"burst": 400, "burst": 5`, "line 10: teams[0].burst: is given twice"},
 		{"same shape", `"/prints/all"`, `"/prints/{name}"`, `repeats "GET prints/{}"`},
-		{"zero rate", `"rate": 200`, `"rate": 0`, "line 10: tenants[0].rate: is not above zero"},
+		{"zero rate", `"rate": 200`, `"rate": 0`, "line 10: teams[0].rate: is not above zero"},
 		{"bad target", `0.9999`, `1`, "line 5: classes[1].target.answered: is not below 1"},
 		{"bad duration", `"500ms"`, `"soon"`, "line 5: classes[1].target.within"},
 		{"bad digest", digest("secret"), "abc", "line 11: keys[0].sha256: is not a SHA-256 digest"},
--- a/core/state/dedup/dedup_test.go
+++ b/core/state/dedup/dedup_test.go
@@ -366,7 +366,7 @@
 		{"unknown", at, func(tab *dedup.Table) { tab.Begin(at, key); tab.Finish(at, key, core.OutcomeUnknown, 0) }, key, dedup.KindUnknown, core.OutcomeUnknown},
 		{"not run", at, func(tab *dedup.Table) { tab.Begin(at, key); tab.Finish(at, key, core.OutcomeNotRun, 0) }, key, dedup.KindRun, core.OutcomeUnknown},
 		{"other content", at, func(tab *dedup.Table) { tab.Begin(at, key) }, dedup.NewKey("verona", "stampa", uuid(at, 1), core.Fingerprint{2}), dedup.KindConflict, core.OutcomeNotRun},
-		{"other tenant", at, func(tab *dedup.Table) { tab.Begin(at, key) }, dedup.NewKey("trento", "stampa", uuid(at, 1), core.Fingerprint{1}), dedup.KindRun, core.OutcomeUnknown},
+		{"other team", at, func(tab *dedup.Table) { tab.Begin(at, key) }, dedup.NewKey("trento", "stampa", uuid(at, 1), core.Fingerprint{1}), dedup.KindRun, core.OutcomeUnknown},
 		{"not after the takeover", at, func(*dedup.Table) {}, fresh(uuid(epoch.Add(12*time.Second), 1)), dedup.KindUnknown, core.OutcomeUnknown},
 		{"after the takeover", at, func(*dedup.Table) {}, fresh(uuid(epoch.Add(12*time.Second+time.Millisecond), 1)), dedup.KindRun, core.OutcomeUnknown},
 		{"future", at, func(*dedup.Table) {}, fresh(uuid(at.Add(5*time.Second+time.Millisecond), 1)), dedup.KindBadKey, core.OutcomeNotRun},
--- a/core/state/dedup/key.go
+++ b/core/state/dedup/key.go
@@ -9,7 +9,7 @@
 	"amaranthline/core"
 )
 
-// Key is an idempotency key in the scope of its tenant and service, together with what the request contains.
+// Key is an idempotency key in the scope of its team and service, together with what the request contains.
 type Key struct {
 	digest [sha256.Size]byte
 	name   string
@@ -18,9 +18,9 @@
 }
 
 // NewKey returns the scoped key of a request with a fingerprint.
-func NewKey(tenant, service, key string, fin core.Fingerprint) Key {
+func NewKey(team, service, key string, fin core.Fingerprint) Key {
 	buf := make([]byte, 0, 128)
-	for _, part := range [...]string{tenant, service, key} {
+	for _, part := range [...]string{team, service, key} {
 		// The length keeps two different triples from having one text.
 		buf = binary.BigEndian.AppendUint32(buf, uint32(len(part)))
 		buf = append(buf, part...)
--- a/core/state/dedup/owner.go
+++ b/core/state/dedup/owner.go
@@ -135,8 +135,8 @@
 		sta.terms = append(sta.terms, useTerm{List: lst})
 		return
 	}
-	at, known := slices.BinarySearchFunc(sta.terms, lst.version, func(ten useTerm, ver uint64) int {
-		return cmp.Compare(ten.version, ver)
+	at, known := slices.BinarySearchFunc(sta.terms, lst.version, func(tea useTerm, ver uint64) int {
+		return cmp.Compare(tea.version, ver)
 	})
 	// The next higher useTerm with the same hosts is the same list under a later version.
 	if known || sta.terms[at].digest == lst.digest {
@@ -147,8 +147,8 @@
 
 // publish drops lists that ended before the retention, evaluates the majorities and stores the new standing.
 func (own *ownership) publish(now time.Time, next *standing) {
-	next.terms = slices.DeleteFunc(next.terms, func(ten useTerm) bool {
-		return !ten.ended.IsZero() && now.Sub(ten.ended) > own.set.Retention
+	next.terms = slices.DeleteFunc(next.terms, func(tea useTerm) bool {
+		return !tea.ended.IsZero() && now.Sub(tea.ended) > own.set.Retention
 	})
 	own.evaluate(now, next)
 	own.view.Store(next)
@@ -162,9 +162,9 @@
 	}
 	current := &next.terms[last]
 	until := own.contact(current.hosts, next)
-	for _, ten := range next.terms[:last] {
-		if !ten.settled {
-			until = earlier(until, own.contact(ten.hosts, next))
+	for _, tea := range next.terms[:last] {
+		if !tea.settled {
+			until = earlier(until, own.contact(tea.hosts, next))
 		}
 	}
 	if !until.After(now) {
@@ -221,11 +221,11 @@
 // lists returns the current list and the earlier ones that may still be in use, for confirmations to peers.
 func (own *ownership) lists(now time.Time) []List {
 	var out []List
-	for _, ten := range own.view.Load().terms {
-		if ten.ended.IsZero() {
-			out = append(out, ten.List)
-		} else if age := now.Sub(ten.ended); !ten.settled && age <= own.set.Retention {
-			out = append(out, NewList(ten.version, ten.hosts, age))
+	for _, tea := range own.view.Load().terms {
+		if tea.ended.IsZero() {
+			out = append(out, tea.List)
+		} else if age := now.Sub(tea.ended); !tea.settled && age <= own.set.Retention {
+			out = append(out, NewList(tea.version, tea.hosts, age))
 		}
 	}
 	return out
--- a/core/state/lease/lease_test.go
+++ b/core/state/lease/lease_test.go
@@ -294,7 +294,7 @@
 	}
 }
 
-// Guards against two processes that together hold more than the whole rate of a tenant.
+// Guards against two processes that together hold more than the whole rate of a team.
 func TestSharesNeverExceedOne(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/core/state/quota/quota.go
+++ b/core/state/quota/quota.go
@@ -20,7 +20,7 @@
 	maxDepth = 3
 	// forwardedDepth leaves the asking broker one more loan to its host.
 	forwardedDepth = maxDepth - 1
-	// maxLoans bounds the loans of one tenant that a node holds.
+	// maxLoans bounds the loans of one team that a node holds.
 	maxLoans = 128
 	// minShare is the smallest share worth a loan.
 	minShare = 1e-4
@@ -40,8 +40,8 @@
 	minGap = 20 * time.Millisecond
 )
 
-// Tenant is the declared rate and burst of a tenant across all hosts.
-type Tenant struct {
+// Team is the declared rate and burst of a team across all hosts.
+type Team struct {
 	Name  string
 	Rate  float64 // requests per second
 	Burst float64 // requests
@@ -50,23 +50,23 @@
 // Loan is a share that moves to another node; a renewal has only ID and Term.
 type Loan struct {
 	ID     uint64
-	Tenant string
+	Team   string
 	Share  float64
 	Tokens float64
 	Term   time.Duration
 	Depth  int
 }
 
-// Want is what a node lacks of a tenant's rate.
+// Want is what a node lacks of a team's rate.
 type Want struct {
-	Tenant string
+	Team   string
 	Share  float64
 	Tokens float64
 }
 
-// Status is one tenant's state on this node.
+// Status is one team's state on this node.
 type Status struct {
-	Tenant   string
+	Team     string
 	Own      float64
 	Lent     float64
 	Borrowed float64
@@ -99,12 +99,12 @@
 	back     time.Time // when the share returns at the latest
 }
 
-// account is the state of one tenant.
+// account is the state of one team.
 type account struct {
 	mu      sync.Mutex
-	tenant  Tenant
+	team    Team
 	revoked bool
-	since   time.Time // when the tenant was last declared after an absence
+	since   time.Time // when the team was last declared after an absence
 	own     *lot
 	lots    []*lot
 	debts   []*debt
@@ -116,7 +116,7 @@
 	tickAt  time.Time
 }
 
-// Ledger holds the accounts of all tenants on one node; it is safe for concurrent use.
+// Ledger holds the accounts of all teams on one node; it is safe for concurrent use.
 type Ledger struct {
 	accounts atomic.Pointer[map[string]*account]
 
@@ -128,28 +128,28 @@
 	rng   *rand.Rand
 }
 
-// New returns the ledger of a node that has just started: no tenants, no share, no tokens.
+// New returns the ledger of a node that has just started: no teams, no share, no tokens.
 func New(rng *rand.Rand) *Ledger {
 	led := &Ledger{rng: rng}
 	led.accounts.Store(&map[string]*account{})
 	return led
 }
 
-func (led *Ledger) account(tenant string) *account { return (*led.accounts.Load())[tenant] }
+func (led *Ledger) account(team string) *account { return (*led.accounts.Load())[team] }
 
-// SetTenants applies the declared tenants; an undeclared one gets no tokens from now on.
-func (led *Ledger) SetTenants(now time.Time, tenants []Tenant) {
+// SetTeams applies the declared teams; an undeclared one gets no tokens from now on.
+func (led *Ledger) SetTeams(now time.Time, teams []Team) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	next := map[string]*account{}
-	for _, ten := range tenants {
-		acc := led.account(ten.Name)
+	for _, tea := range teams {
+		acc := led.account(tea.Name)
 		if acc == nil {
 			acc = &account{own: &lot{}, at: now, tickAt: now, since: now}
 			acc.setShare(now, led.share, led.until)
 		}
-		next[ten.Name] = acc
-		acc.setTenant(now, ten)
+		next[tea.Name] = acc
+		acc.setTeam(now, tea)
 	}
 	for name, acc := range *led.accounts.Load() {
 		if next[name] == nil && acc.revoke(now) {
@@ -159,24 +159,24 @@
 	led.accounts.Store(&next)
 }
 
-func (acc *account) setTenant(now time.Time, ten Tenant) {
+func (acc *account) setTeam(now time.Time, tea Team) {
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
-	acc.tenant = ten
+	acc.team = tea
 	if acc.revoked {
 		acc.revoked, acc.since = false, now
 	}
 	acc.clip()
 }
 
-// revoke ends a tenant and says whether the account must be kept: a share that is lent must not be used twice when the
-// tenant is declared again.
+// revoke ends a team and says whether the account must be kept: a share that is lent must not be used twice when the
+// team is declared again.
 func (acc *account) revoke(now time.Time) bool {
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
-	acc.tenant.Rate, acc.tenant.Burst = 0, 0
+	acc.team.Rate, acc.team.Burst = 0, 0
 	acc.revoked = true
 	acc.clip()
 	return len(acc.debts) > 0
@@ -211,12 +211,12 @@
 	}
 	seconds := now.Sub(acc.at).Seconds()
 	acc.at = now
-	acc.own.earn(seconds, acc.tenant)
+	acc.own.earn(seconds, acc.team)
 	if !now.Before(acc.own.until) {
 		acc.own.share, acc.own.tokens = 0, 0
 	}
 	for _, lot := range acc.lots {
-		lot.earn(seconds, acc.tenant)
+		lot.earn(seconds, acc.team)
 	}
 	acc.lots = slices.DeleteFunc(acc.lots, func(lot *lot) bool { return !now.Before(lot.until) })
 	acc.debts = slices.DeleteFunc(acc.debts, func(deb *debt) bool {
@@ -229,14 +229,14 @@
 }
 
 // earn adds tokens for a time.
-func (lot *lot) earn(seconds float64, ten Tenant) {
-	lot.tokens = min(lot.tokens+lot.usable()*ten.Rate*seconds, lot.usable()*ten.Burst)
+func (lot *lot) earn(seconds float64, tea Team) {
+	lot.tokens = min(lot.tokens+lot.usable()*tea.Rate*seconds, lot.usable()*tea.Burst)
 }
 
 // clip cuts tokens to the burst of the present shares.
 func (acc *account) clip() {
 	for _, lot := range acc.sources() {
-		lot.tokens = min(lot.tokens, lot.usable()*acc.tenant.Burst)
+		lot.tokens = min(lot.tokens, lot.usable()*acc.team.Burst)
 	}
 }
 
@@ -244,8 +244,8 @@
 func (acc *account) sources() []*lot { return append(slices.Clone(acc.lots), acc.own) }
 
 // Take takes one token for a new request; it says false when there is none.
-func (led *Ledger) Take(now time.Time, tenant string) bool {
-	acc := led.account(tenant)
+func (led *Ledger) Take(now time.Time, team string) bool {
+	acc := led.account(team)
 	if acc == nil {
 		return false
 	}
@@ -257,8 +257,8 @@
 }
 
 // Retry takes one token for a request that Take has already counted.
-func (led *Ledger) Retry(now time.Time, tenant string) bool {
-	acc := led.account(tenant)
+func (led *Ledger) Retry(now time.Time, team string) bool {
+	acc := led.account(team)
 	if acc == nil {
 		return false
 	}
@@ -317,14 +317,14 @@
 
 // need returns the share that the node's own demand takes.
 func (acc *account) need() float64 {
-	if acc.tenant.Rate == 0 || acc.demand == 0 {
+	if acc.team.Rate == 0 || acc.demand == 0 {
 		return 0
 	}
 	gap := max(minGap, time.Duration(longGap/acc.demand*float64(time.Second)))
 	if acc.at.Sub(acc.lastAt) > gap {
 		return 0
 	}
-	return min(1, headroom*acc.demand/acc.tenant.Rate)
+	return min(1, headroom*acc.demand/acc.team.Rate)
 }
 
 func (acc *account) usable() float64 {
@@ -336,46 +336,46 @@
 }
 
 // RetryAfter returns how long the present shares need to earn the next token, at most the given time.
-func (led *Ledger) RetryAfter(now time.Time, tenant string, most time.Duration) time.Duration {
-	acc := led.account(tenant)
+func (led *Ledger) RetryAfter(now time.Time, team string, most time.Duration) time.Duration {
+	acc := led.account(team)
 	if acc == nil {
 		return most
 	}
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
-	perSecond := acc.usable() * acc.tenant.Rate
+	perSecond := acc.usable() * acc.team.Rate
 	if perSecond*most.Seconds() < 1 {
 		return most
 	}
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// Declared returns a tenant as it was last declared.
-func (led *Ledger) Declared(tenant string) (Tenant, bool) {
-	acc := led.account(tenant)
+// Declared returns a team as it was last declared.
+func (led *Ledger) Declared(team string) (Team, bool) {
+	acc := led.account(team)
 	if acc == nil {
-		return Tenant{}, false
+		return Team{}, false
 	}
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
-	return acc.tenant, !acc.revoked
+	return acc.team, !acc.revoked
 }
 
-// Shortage returns what a tenant's own demand lacks, together with the tokens that are wanted at once.
-func (led *Ledger) Shortage(now time.Time, tenant string, tokens float64) (Want, bool) {
-	acc := led.account(tenant)
+// Shortage returns what a team's own demand lacks, together with the tokens that are wanted at once.
+func (led *Ledger) Shortage(now time.Time, team string, tokens float64) (Want, bool) {
+	acc := led.account(team)
 	if acc == nil {
 		return Want{}, false
 	}
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
-	want := Want{Tenant: tenant, Share: max(0, acc.need()-acc.usable()), Tokens: tokens}
+	want := Want{Team: team, Share: max(0, acc.need()-acc.usable()), Tokens: tokens}
 	return want, !acc.revoked && (want.Share > minShare || tokens > 0)
 }
 
-// Shortages returns what the demand of all tenants lacks in share.
+// Shortages returns what the demand of all teams lacks in share.
 func (led *Ledger) Shortages(now time.Time) []Want {
 	var wants []Want
 	for name := range *led.accounts.Load() {
@@ -383,14 +383,14 @@
 			wants = append(wants, want)
 		}
 	}
-	slices.SortFunc(wants, func(one, two Want) int { return cmp.Compare(one.Tenant, two.Tenant) })
+	slices.SortFunc(wants, func(one, two Want) int { return cmp.Compare(one.Team, two.Team) })
 	return wants
 }
 
 // Lend debits shares and tokens that are idle here and returns them as loans, up to what is wanted. A forwarded want
 // comes from the broker of another group.
 func (led *Ledger) Lend(now time.Time, borrower string, want Want, forwarded bool) []Loan {
-	acc := led.account(want.Tenant)
+	acc := led.account(want.Team)
 	if acc == nil {
 		return nil
 	}
@@ -407,7 +407,7 @@
 	spare := acc.usable() - max(acc.need(), reservePart*acc.own.share)
 	var loans []Loan
 	for _, lot := range slices.Backward(acc.sources()) {
-		share := min(lot.usable(), spare, max(want.Share, want.Tokens/acc.tenant.Burst))
+		share := min(lot.usable(), spare, max(want.Share, want.Tokens/acc.team.Burst))
 		if share < minShare || lot.depth >= depth || lot.lender == borrower {
 			continue
 		}
@@ -435,11 +435,11 @@
 	if term < minTerm {
 		return Loan{}, false
 	}
-	tokens := lot.debit(share * acc.tenant.Burst)
+	tokens := lot.debit(share * acc.team.Burst)
 	lot.lent += share
 	deb := &debt{id: id, borrower: borrower, share: share, from: lot, lentAt: now, back: backAt(now, term)}
 	acc.debts = append(acc.debts, deb)
-	return Loan{ID: id, Tenant: acc.tenant.Name, Share: share, Tokens: tokens, Term: term, Depth: lot.depth + 1}, true
+	return Loan{ID: id, Team: acc.team.Name, Share: share, Tokens: tokens, Term: term, Depth: lot.depth + 1}, true
 }
 
 // termWithin returns the longest term that ends before a time, clock differences included.
@@ -495,11 +495,11 @@
 func (led *Ledger) Borrow(now, askedAt time.Time, lender string, loans []Loan) {
 	renewed := map[uint64]time.Duration{}
 	for _, loan := range loans {
-		if loan.Tenant == "" {
+		if loan.Team == "" {
 			renewed[loan.ID] = loan.Term
 			continue
 		}
-		if acc := led.account(loan.Tenant); acc != nil {
+		if acc := led.account(loan.Team); acc != nil {
 			acc.borrow(now, askedAt, lender, loan)
 		}
 	}
@@ -516,7 +516,7 @@
 	defer acc.mu.Unlock()
 	acc.advance(now)
 	until := askedAt.Add(loan.Term)
-	// Tokens that were earned before the tenant was revoked must not come back when it is declared again.
+	// Tokens that were earned before the team was revoked must not come back when it is declared again.
 	if askedAt.Before(acc.since) {
 		return
 	}
@@ -562,7 +562,7 @@
 
 // Return removes loans that own demand and borrowers do not need, and returns them by lender. The caller chooses
 // which loans it keeps for later.
-func (led *Ledger) Return(now time.Time, keep func(tenant, lender string) bool) map[string][]Loan {
+func (led *Ledger) Return(now time.Time, keep func(team, lender string) bool) map[string][]Loan {
 	out := map[string][]Loan{}
 	for _, acc := range *led.accounts.Load() {
 		acc.giveBack(now, keep, out)
@@ -570,17 +570,17 @@
 	return out
 }
 
-func (acc *account) giveBack(now time.Time, keep func(tenant, lender string) bool, out map[string][]Loan) {
+func (acc *account) giveBack(now time.Time, keep func(team, lender string) bool, out map[string][]Loan) {
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
 	excess := acc.usable() - acc.need()
 	acc.lots = slices.DeleteFunc(acc.lots, func(lot *lot) bool {
-		if lot.lent > minShare || lot.share > excess || keep(acc.tenant.Name, lot.lender) {
+		if lot.lent > minShare || lot.share > excess || keep(acc.team.Name, lot.lender) {
 			return false
 		}
 		excess -= lot.share
-		out[lot.lender] = append(out[lot.lender], Loan{ID: lot.id, Tenant: acc.tenant.Name, Tokens: lot.tokens})
+		out[lot.lender] = append(out[lot.lender], Loan{ID: lot.id, Team: acc.team.Name, Tokens: lot.tokens})
 		return true
 	})
 }
@@ -588,7 +588,7 @@
 // Reclaim takes back loans that a borrower has given back before their end, with the tokens that it debited.
 func (led *Ledger) Reclaim(now time.Time, borrower string, loans []Loan) {
 	for _, loan := range loans {
-		if acc := led.account(loan.Tenant); acc != nil {
+		if acc := led.account(loan.Team); acc != nil {
 			acc.reclaim(now, borrower, loan)
 		}
 	}
@@ -604,7 +604,7 @@
 		}
 		deb.from.lent -= deb.share
 		if !deb.lentAt.Before(acc.since) {
-			deb.from.tokens += min(loan.Tokens, deb.share*acc.tenant.Burst)
+			deb.from.tokens += min(loan.Tokens, deb.share*acc.team.Burst)
 		}
 		acc.debts = slices.Delete(acc.debts, i, i+1)
 		acc.clip()
@@ -612,13 +612,13 @@
 	}
 }
 
-// Status returns the state of all declared tenants in ascending order of name.
+// Status returns the state of all declared teams in ascending order of name.
 func (led *Ledger) Status(now time.Time) []Status {
 	var out []Status
 	for _, acc := range *led.accounts.Load() {
 		out = append(out, acc.status(now))
 	}
-	slices.SortFunc(out, func(one, two Status) int { return cmp.Compare(one.Tenant, two.Tenant) })
+	slices.SortFunc(out, func(one, two Status) int { return cmp.Compare(one.Team, two.Team) })
 	return out
 }
 
@@ -626,7 +626,7 @@
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	acc.advance(now)
-	sta := Status{Tenant: acc.tenant.Name, Own: acc.own.share, Usable: acc.usable(), Tokens: acc.own.tokens, Demand: acc.demand}
+	sta := Status{Team: acc.team.Name, Own: acc.own.share, Usable: acc.usable(), Tokens: acc.own.tokens, Demand: acc.demand}
 	for _, lot := range acc.lots {
 		sta.Borrowed += lot.share
 		sta.Tokens += lot.tokens
--- a/core/state/quota/quota_test.go
+++ b/core/state/quota/quota_test.go
@@ -29,7 +29,7 @@
 	speed     float64
 	share     float64
 	raises    map[time.Duration]float64
-	rates     map[string]quota.Tenant
+	rates     map[string]quota.Team
 	demanding bool
 	paused    bool
 	replaced  bool
@@ -48,22 +48,22 @@
 
 // simulation runs the ledgers of all nodes and checks what they admit together.
 type simulation struct {
-	rt      *rapid.T
-	rng     *rand.Rand
-	now     time.Duration
-	drift   float64
-	nodes   []*node
-	events  []event
-	levels  map[string]float64
-	tenants map[string]quota.Tenant
-	admits  int
-	loans   int
+	rt     *rapid.T
+	rng    *rand.Rand
+	now    time.Duration
+	drift  float64
+	nodes  []*node
+	events []event
+	levels map[string]float64
+	teams  map[string]quota.Team
+	admits int
+	loans  int
 }
 
 func newSimulation(rt *rapid.T) *simulation {
 	sim := &simulation{
 		rt: rt, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1)), levels: map[string]float64{},
-		tenants: map[string]quota.Tenant{"ordini": {Name: "ordini", Rate: 200, Burst: 400}, "varchi": {Name: "varchi", Rate: 20, Burst: 5}},
+		teams: map[string]quota.Team{"ordini": {Name: "ordini", Rate: 200, Burst: 400}, "varchi": {Name: "varchi", Rate: 20, Burst: 5}},
 	}
 	if rapid.Bool().Draw(rt, "drift") {
 		sim.drift = 0.08
@@ -72,8 +72,8 @@
 	for i := range count {
 		sim.start(fmt.Sprintf("h%d", i), 1/float64(count), 0)
 	}
-	for name, ten := range sim.tenants {
-		sim.levels[name] = ten.Burst
+	for name, tea := range sim.teams {
+		sim.levels[name] = tea.Burst
 	}
 	return sim
 }
@@ -89,13 +89,13 @@
 }
 
 func (sim *simulation) declare(nod *node) {
-	nod.rates = map[string]quota.Tenant{}
-	var list []quota.Tenant
-	for name, ten := range sim.tenants {
-		nod.rates[name] = ten
-		list = append(list, ten)
+	nod.rates = map[string]quota.Team{}
+	var list []quota.Team
+	for name, tea := range sim.teams {
+		nod.rates[name] = tea
+		list = append(list, tea)
 	}
-	nod.SetTenants(nod.clock(sim.now), list)
+	nod.SetTeams(nod.clock(sim.now), list)
 }
 
 // later delivers a message after a random delay, or loses it. A paused process handles it after it wakes.
@@ -163,13 +163,13 @@
 	sim.start(old.name, share, raiseWait)
 }
 
-// declareChange publishes new rates, or revokes a tenant, and tells one process.
+// declareChange publishes new rates, or revokes a team, and tells one process.
 func (sim *simulation) declareChange(nod *node) {
 	name := []string{"ordini", "varchi"}[sim.rng.IntN(2)]
 	if sim.rng.IntN(8) == 0 {
-		delete(sim.tenants, name)
+		delete(sim.teams, name)
 	} else {
-		sim.tenants[name] = quota.Tenant{Name: name, Rate: 1 + 300*sim.rng.Float64(), Burst: 1 + 300*sim.rng.Float64()}
+		sim.teams[name] = quota.Team{Name: name, Rate: 1 + 300*sim.rng.Float64(), Burst: 1 + 300*sim.rng.Float64()}
 	}
 	sim.declare(nod)
 }
@@ -177,8 +177,8 @@
 func (sim *simulation) act() {
 	one := sim.nodes[rapid.IntRange(0, len(sim.nodes)-1).Draw(sim.rt, "one")]
 	two := sim.nodes[rapid.IntRange(0, len(sim.nodes)-1).Draw(sim.rt, "two")]
-	tenant := []string{"ordini", "varchi"}[sim.rng.IntN(2)]
-	want := quota.Want{Tenant: tenant, Share: sim.rng.Float64(), Tokens: 100 * sim.rng.Float64()}
+	team := []string{"ordini", "varchi"}[sim.rng.IntN(2)]
+	want := quota.Want{Team: team, Share: sim.rng.Float64(), Tokens: 100 * sim.rng.Float64()}
 	kind := rapid.IntRange(0, 21).Draw(sim.rt, "kind")
 	switch {
 	case kind == 19:
@@ -200,7 +200,7 @@
 		sim.declareChange(one)
 	case kind == 14:
 		if sim.rng.IntN(2) == 0 {
-			one.SetTenants(one.clock(sim.now), nil)
+			one.SetTeams(one.clock(sim.now), nil)
 		}
 		sim.declare(one)
 	case kind == 15:
@@ -248,33 +248,33 @@
 			continue
 		}
 		for _, sta := range nod.Status(nod.clock(sim.now)) {
-			tokens[sta.Tenant] += sta.Tokens
-			shares[sta.Tenant] += sta.Usable
+			tokens[sta.Team] += sta.Tokens
+			shares[sta.Team] += sta.Usable
 		}
 	}
-	for tenant := range sim.levels {
-		if over := tokens[tenant] - sim.levels[tenant]; over > slack {
-			sim.rt.Fatalf("%s at %v: %.3f tokens more than rate and burst allow", tenant, sim.now, over)
+	for team := range sim.levels {
+		if over := tokens[team] - sim.levels[team]; over > slack {
+			sim.rt.Fatalf("%s at %v: %.3f tokens more than rate and burst allow", team, sim.now, over)
 		}
-		if shares[tenant] > 1+slack {
-			sim.rt.Fatalf("%s at %v: the shares add up to %.3f", tenant, sim.now, shares[tenant])
+		if shares[team] > 1+slack {
+			sim.rt.Fatalf("%s at %v: the shares add up to %.3f", team, sim.now, shares[team])
 		}
 	}
 }
 
 func (sim *simulation) takeAll(nod *node, now time.Time) {
-	for _, tenant := range []string{"ordini", "varchi"} {
-		for nod.Take(now, tenant) {
-			sim.admit(tenant)
+	for _, team := range []string{"ordini", "varchi"} {
+		for nod.Take(now, team) {
+			sim.admit(team)
 		}
 	}
 }
 
-func (sim *simulation) admit(tenant string) {
+func (sim *simulation) admit(team string) {
 	sim.admits++
-	sim.levels[tenant]--
-	if sim.levels[tenant] < -slack {
-		sim.rt.Fatalf("%s at %v: %.3f requests more than rate and burst allow", tenant, sim.now, -sim.levels[tenant])
+	sim.levels[team]--
+	if sim.levels[team] < -slack {
+		sim.rt.Fatalf("%s at %v: %.3f requests more than rate and burst allow", team, sim.now, -sim.levels[team])
 	}
 }
 
@@ -340,12 +340,12 @@
 			lender.SetShare(at(20.05), 1, at(24))
 		}, []int{0, 0}},
 		{"revoked", 10, func(lender, borrower *quota.Ledger) {
-			lender.SetTenants(at(10), nil)
-			borrower.SetTenants(at(10), nil)
+			lender.SetTeams(at(10), nil)
+			borrower.SetTeams(at(10), nil)
 		}, []int{0, 0}},
 		{"revoked and declared again", 10, func(lender, _ *quota.Ledger) {
-			lender.SetTenants(at(10), nil)
-			lender.SetTenants(at(10), []quota.Tenant{{Name: "t", Rate: 10, Burst: 100}})
+			lender.SetTeams(at(10), nil)
+			lender.SetTeams(at(10), []quota.Team{{Name: "t", Rate: 10, Burst: 100}})
 		}, []int{0, 50}},
 	}
 	for _, tst := range tests {
@@ -353,11 +353,11 @@
 			rng := rand.New(rand.NewPCG(1, 1))
 			lender, borrower := quota.New(rng), quota.New(rng)
 			for _, led := range []*quota.Ledger{lender, borrower} {
-				led.SetTenants(at(0), []quota.Tenant{{Name: "t", Rate: 10, Burst: 100}})
+				led.SetTeams(at(0), []quota.Team{{Name: "t", Rate: 10, Burst: 100}})
 			}
 			lender.SetShare(at(0), 1, at(20))
 			lender.Tick(at(10)) // enough time for a full bucket
-			loans := lender.Lend(at(10), "b", quota.Want{Tenant: "t", Share: 0.5}, false)
+			loans := lender.Lend(at(10), "b", quota.Want{Team: "t", Share: 0.5}, false)
 			borrower.Borrow(at(10), at(10), "a", loans)
 			if tst.after != nil {
 				tst.after(lender, borrower)
@@ -377,35 +377,35 @@
 	}
 }
 
-// BenchmarkTake measures the request path: one token each, many tenants at once.
+// BenchmarkTake measures the request path: one token each, many teams at once.
 func BenchmarkTake(b *testing.B) {
 	led := quota.New(rand.New(rand.NewPCG(1, 1)))
-	var tenants []quota.Tenant
+	var teams []quota.Team
 	for i := range 64 {
-		tenants = append(tenants, quota.Tenant{Name: fmt.Sprint(i), Rate: 1e9, Burst: 1e9})
+		teams = append(teams, quota.Team{Name: fmt.Sprint(i), Rate: 1e9, Burst: 1e9})
 	}
-	led.SetTenants(epoch, tenants)
+	led.SetTeams(epoch, teams)
 	led.SetShare(epoch, 1, epoch.Add(time.Hour))
 	now := epoch.Add(time.Second)
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
-			led.Take(now, tenants[i%len(tenants)].Name)
+			led.Take(now, teams[i%len(teams)].Name)
 		}
 	})
 }
 
-// A loan that is under way while its tenant is revoked and declared again must not bring tokens from before.
+// A loan that is under way while its team is revoked and declared again must not bring tokens from before.
 func TestLoanFromBeforeRevocationBringsNothing(t *testing.T) {
-	ten := []quota.Tenant{{Name: "varchi", Rate: 100, Burst: 100}}
+	tea := []quota.Team{{Name: "varchi", Rate: 100, Burst: 100}}
 	lender, borrower := quota.New(rand.New(rand.NewPCG(1, 1))), quota.New(rand.New(rand.NewPCG(1, 2)))
 	for _, led := range []*quota.Ledger{lender, borrower} {
-		led.SetTenants(epoch, ten)
+		led.SetTeams(epoch, tea)
 		led.SetShare(epoch, 0.5, epoch.Add(shareTerm))
 	}
 	now := epoch.Add(time.Second)
-	loans := lender.Lend(now, "h1", quota.Want{Tenant: "varchi", Share: 0.4, Tokens: 20}, false)
-	borrower.SetTenants(now, nil)
-	borrower.SetTenants(now.Add(step), ten)
+	loans := lender.Lend(now, "h1", quota.Want{Team: "varchi", Share: 0.4, Tokens: 20}, false)
+	borrower.SetTeams(now, nil)
+	borrower.SetTeams(now.Add(step), tea)
 	borrower.Borrow(now.Add(2*step), now, "h0", loans)
 	got := borrower.Status(now.Add(2 * step))[0].Borrowed
 	if diff := cmp.Diff(0.0, got); diff != "" {
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -52,8 +52,8 @@
 
 // KeyView names a key by its identifier, never by its value.
 type KeyView struct {
-	ID     string `json:"id"`
-	Tenant string `json:"tenant"`
+	ID   string `json:"id"`
+	Team string `json:"team"`
 }
 
 func (nod *Node) admin() http.Handler {
@@ -114,7 +114,7 @@
 			sta.Domains = append(sta.Domains, DomainView{Name: name, Out: sna.Domain(name).Out()})
 		}
 		for _, key := range sna.Keys() {
-			sta.Keys = append(sta.Keys, KeyView{ID: key.ID(), Tenant: key.Tenant().Name()})
+			sta.Keys = append(sta.Keys, KeyView{ID: key.ID(), Team: key.Team().Name()})
 		}
 	}
 	return sta
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -18,7 +18,7 @@
 type metrics struct {
 	registry *prometheus.Registry
 	classes  *prometheus.HistogramVec
-	tenants  *prometheus.HistogramVec
+	teams    *prometheus.HistogramVec
 	refused  *prometheus.CounterVec
 	retried  *prometheus.CounterVec
 }
@@ -29,17 +29,17 @@
 		classes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricPrefix + "class_latency_seconds", Help: "Time to a whole answer, by class.", Buckets: latencyBuckets,
 		}, []string{"class", "kind"}),
-		tenants: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: metricPrefix + "tenant_latency_seconds", Help: "Time to a whole answer, by tenant.", Buckets: latencyBuckets,
-		}, []string{"tenant", "kind"}),
+		teams: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: metricPrefix + "team_latency_seconds", Help: "Time to a whole answer, by team.", Buckets: latencyBuckets,
+		}, []string{"team", "kind"}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: metricPrefix + "refused_total", Help: "Requests refused or failed, by reason, class and tenant.",
-		}, []string{"reason", "class", "tenant"}),
+			Name: metricPrefix + "refused_total", Help: "Requests refused or failed, by reason, class and team.",
+		}, []string{"reason", "class", "team"}),
 		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: metricPrefix + "retries_total", Help: "Further attempts of calls, by class.",
 		}, []string{"class"}),
 	}
-	met.registry.MustRegister(met.classes, met.tenants, met.refused, met.retried,
+	met.registry.MustRegister(met.classes, met.teams, met.refused, met.retried,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return met
 }
@@ -52,15 +52,15 @@
 }
 
 // Served records a whole answer.
-func (met *metrics) Served(class, tenant string, nested bool, took time.Duration) {
+func (met *metrics) Served(class, team string, nested bool, took time.Duration) {
 	kind := kindLabel(nested)
 	met.classes.WithLabelValues(class, kind).Observe(took.Seconds())
-	met.tenants.WithLabelValues(tenant, kind).Observe(took.Seconds())
+	met.teams.WithLabelValues(team, kind).Observe(took.Seconds())
 }
 
 // Refused counts a refusal.
-func (met *metrics) Refused(reason core.Reason, class, tenant string) {
-	met.refused.WithLabelValues(string(reason), class, tenant).Inc()
+func (met *metrics) Refused(reason core.Reason, class, team string) {
+	met.refused.WithLabelValues(string(reason), class, team).Inc()
 }
 
 // Retried counts a further attempt.
--- a/io/protocol/wire/convert.go
+++ b/io/protocol/wire/convert.go
@@ -30,7 +30,7 @@
 		length = 0
 	}
 	return &CallHead{
-		RootId: rid[:], Tenant: cal.Tenant(), KeyId: cal.KeyID(), Class: cal.Class(), Open: cal.Open(),
+		RootId: rid[:], Team: cal.Team(), KeyId: cal.KeyID(), Class: cal.Class(), Open: cal.Open(),
 		Service: cal.Service(), Method: cal.Method(), Path: cal.Path(), Headers: FromHeader(cal.Header()),
 		Length: length, Idempotent: cal.Idempotent(), IdempotencyKey: cal.IdempotencyKey(),
 		Budget: int32(cal.Budget()), Depth: int32(cal.Depth()), Fingerprint: fin[:],
@@ -52,7 +52,7 @@
 		return nil, &DecodeError{detail: "a number of CallHead is negative"}
 	}
 	roo := core.NewRoot(core.RootSpec{
-		ID: rid, Tenant: head.GetTenant(), KeyID: head.GetKeyId(), Class: head.GetClass(), Rank: UnknownRank,
+		ID: rid, Team: head.GetTeam(), KeyID: head.GetKeyId(), Class: head.GetClass(), Rank: UnknownRank,
 		Deadline: deadline, Admitted: admitted, Open: head.GetOpen(),
 	})
 	return core.NewCall(core.CallSpec{
--- a/io/protocol/wire/wire_test.go
+++ b/io/protocol/wire/wire_test.go
@@ -138,7 +138,7 @@
 	now := time.Now()
 	want := core.CallSpec{
 		Root: core.NewRoot(core.RootSpec{
-			ID: core.RootID{1, 2}, Tenant: "verona", KeyID: "verona-1", Class: "confirm", Rank: wire.UnknownRank,
+			ID: core.RootID{1, 2}, Team: "verona", KeyID: "verona-1", Class: "confirm", Rank: wire.UnknownRank,
 			Deadline: now.Add(time.Second), Admitted: now, Open: true,
 		}),
 		Service: "stampa", Method: http.MethodPost, Path: "/prints/9?x=1", Header: http.Header{"X-Job": {"a", "b"}},
--- a/io/transport/mesh/mesh_test.go
+++ b/io/transport/mesh/mesh_test.go
@@ -135,7 +135,7 @@
 
 func root(limit time.Duration) *core.Root {
 	now := time.Now()
-	return core.NewRoot(core.RootSpec{ID: core.RootID{1}, Tenant: "verona", Class: "read", Deadline: now.Add(limit), Admitted: now})
+	return core.NewRoot(core.RootSpec{ID: core.RootID{1}, Team: "verona", Class: "read", Deadline: now.Add(limit), Admitted: now})
 }
 
 func newCall(body string) *core.Call {
--- a/stand/demo/demo.go
+++ b/stand/demo/demo.go
@@ -15,7 +15,7 @@
 
 const (
 	confirmRate = 40  // requests/s of the important class
-	readRate    = 100 // requests/s of the well-behaved tenant's reads
+	readRate    = 100 // requests/s of the well-behaved team's reads
 	surgeRate   = 1500
 	surgeRetry  = 2 // sends after a refusal, at once
 	warmUp      = 3 * time.Second
@@ -48,7 +48,7 @@
 				Routes: []fleet.Route{read("/gate")},
 			},
 		},
-		Tenants: []fleet.Tenant{
+		Teams: []fleet.Team{
 			{Name: "verona", Rate: 400, Burst: 400},
 			{Name: "torino", Rate: 4000, Burst: 4000},
 		},
@@ -62,12 +62,12 @@
 }
 
 func phases(plan fleet.Plan, hosts []*fleet.Host) []phase {
-	verona, torino := plan.Tenants[0], plan.Tenants[1]
+	verona, torino := plan.Teams[0], plan.Teams[1]
 	steady := []fleet.Stream{
-		{Name: "confirm (verona)", Tenant: verona, Method: http.MethodPost, Path: "/ordini/confirm", Rate: confirmRate, Hosts: hosts},
-		{Name: "read (verona)", Tenant: verona, Method: http.MethodGet, Path: "/ordini/status", Rate: readRate, Hosts: hosts},
+		{Name: "confirm (verona)", Team: verona, Method: http.MethodPost, Path: "/ordini/confirm", Rate: confirmRate, Hosts: hosts},
+		{Name: "read (verona)", Team: verona, Method: http.MethodGet, Path: "/ordini/status", Rate: readRate, Hosts: hosts},
 	}
-	calm := fleet.Stream{Name: "read (torino)", Tenant: torino, Method: http.MethodGet, Path: "/ordini/status", Rate: readRate, Hosts: hosts}
+	calm := fleet.Stream{Name: "read (torino)", Team: torino, Method: http.MethodGet, Path: "/ordini/status", Rate: readRate, Hosts: hosts}
 	surge := calm
 	surge.Rate, surge.Retries = surgeRate, surgeRetry
 	return []phase{
--- a/stand/fleet/capacity_test.go
+++ b/stand/fleet/capacity_test.go
@@ -97,11 +97,11 @@
 	{"out", "B/s", 1, 1, "B", func(use usage) float64 { return use.written }},
 }
 
-func capacityPlan(domains, services, tenants int) fleet.Plan {
+func capacityPlan(domains, services, teams int) fleet.Plan {
 	pla := plan()
 	model := pla.Services[0]
 	model.Calls, model.OriginArgs = nil, nil
-	pla.Domains, pla.Services, pla.Tenants = nil, nil, nil
+	pla.Domains, pla.Services, pla.Teams = nil, nil, nil
 	for num := range domains {
 		pla.Domains = append(pla.Domains, fmt.Sprintf("domain-%d", num))
 	}
@@ -109,8 +109,8 @@
 		model.Name = fmt.Sprintf("service-%d", num)
 		pla.Services = append(pla.Services, model)
 	}
-	for num := range tenants {
-		pla.Tenants = append(pla.Tenants, fleet.Tenant{Name: fmt.Sprintf("tenant-%d", num), Rate: 1000, Burst: 2000})
+	for num := range teams {
+		pla.Teams = append(pla.Teams, fleet.Team{Name: fmt.Sprintf("team-%d", num), Rate: 1000, Burst: 2000})
 	}
 	return pla
 }
@@ -121,7 +121,7 @@
 	if os.Getenv("AMARANTHLINE_CAPACITY") == "" {
 		t.Skip("set AMARANTHLINE_CAPACITY=1 to measure")
 	}
-	type size struct{ domains, services, tenants, listed int }
+	type size struct{ domains, services, teams, listed int }
 	// At most 132 processes at a time.
 	for num, group := range [][]size{
 		{{3, 2, 2, 0}, {3, 20, 2, 0}},
@@ -133,7 +133,7 @@
 			for _, siz := range group {
 				t.Run(fmt.Sprintf("%+v", siz), func(t *testing.T) {
 					t.Parallel()
-					capacityOf(t, capacityPlan(siz.domains, siz.services, siz.tenants), siz.listed)
+					capacityOf(t, capacityPlan(siz.domains, siz.services, siz.teams), siz.listed)
 				})
 			}
 		})
--- a/stand/fleet/change_test.go
+++ b/stand/fleet/change_test.go
@@ -75,8 +75,8 @@
 	defer fix.noRefusal(t)
 	for round, restarts := range []bool{false, true} {
 		one, two := plan(), plan()
-		one.Tenants[0].Rate += float64(10 * round)
-		two.Tenants[0].Rate += float64(10*round + 1)
+		one.Teams[0].Rate += float64(10 * round)
+		two.Teams[0].Rate += float64(10*round + 1)
 		version := fix.Declared() + 1
 		fix.must(fix.PublishAt(round%2, version, one))
 		fix.must(fix.PublishAt(1-round%2, version, two))
--- a/stand/fleet/docs.go
+++ b/stand/fleet/docs.go
@@ -34,15 +34,15 @@
 	OriginArgs  []string      // further flags of the upstream stand-in
 }
 
-// Tenant is a tenant with one key, which is its name with "-key".
-type Tenant struct {
+// Team is a team with one key, which is its name with "-key".
+type Team struct {
 	Name  string
 	Rate  float64
 	Burst float64
 }
 
-// Key returns the tenant's key.
-func (ten Tenant) Key() string { return ten.Name + "-key" }
+// Key returns the team's key.
+func (tea Team) Key() string { return tea.Name + "-key" }
 
 // Plan says what a fleet consists of.
 type Plan struct {
@@ -50,8 +50,8 @@
 	Out      map[string]bool // failure domains that are taken out
 	Classes  []Class
 	Services []Service
-	Tenants  []Tenant
-	Revoked  map[string]bool // tenants whose key is revoked
+	Teams    []Team
+	Revoked  map[string]bool // teams whose key is revoked
 
 	Platforms int // platform stand-ins, of which each service reads one; 1 when zero
 	// Advertise returns the address that the host list shows instead of a host's peer address; nil shows the address itself.
@@ -69,7 +69,7 @@
 
 // declarations returns the published document of a plan.
 func (pla *Plan) declarations(version uint64) []byte {
-	classes, services, tenants, keys, domains := []object{}, []object{}, []object{}, []object{}, []object{}
+	classes, services, teams, keys, domains := []object{}, []object{}, []object{}, []object{}, []object{}
 	for _, cla := range pla.Classes {
 		target := object{"answered": cla.Answered, "within": cla.Within.String()}
 		classes = append(classes, object{"name": cla.Name, "target": target})
@@ -77,11 +77,11 @@
 	for _, ser := range pla.Services {
 		services = append(services, object{"name": ser.Name, "routes": ser.Routes})
 	}
-	for _, ten := range pla.Tenants {
-		tenants = append(tenants, object{"name": ten.Name, "rate": ten.Rate, "burst": ten.Burst})
-		if !pla.Revoked[ten.Name] {
-			sum := sha256.Sum256([]byte(ten.Key()))
-			keys = append(keys, object{"id": ten.Name + "-1", "tenant": ten.Name, "sha256": hex.EncodeToString(sum[:])})
+	for _, tea := range pla.Teams {
+		teams = append(teams, object{"name": tea.Name, "rate": tea.Rate, "burst": tea.Burst})
+		if !pla.Revoked[tea.Name] {
+			sum := sha256.Sum256([]byte(tea.Key()))
+			keys = append(keys, object{"id": tea.Name + "-1", "team": tea.Name, "sha256": hex.EncodeToString(sum[:])})
 		}
 	}
 	for _, name := range pla.Domains {
@@ -92,7 +92,7 @@
 		domains = append(domains, object{"name": name, "region": "loopback", "state": state})
 	}
 	return encode(object{
-		"version": version, "classes": classes, "services": services, "tenants": tenants, "keys": keys, "domains": domains,
+		"version": version, "classes": classes, "services": services, "teams": teams, "keys": keys, "domains": domains,
 	})
 }
 
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -361,7 +361,7 @@
 // Publish publishes a changed plan as the next version of the declarations.
 func (fle *Fleet) Publish(plan Plan) error {
 	fle.plan.Out, fle.plan.Revoked = plan.Out, plan.Revoked
-	fle.plan.Classes, fle.plan.Tenants = plan.Classes, plan.Tenants
+	fle.plan.Classes, fle.plan.Teams = plan.Classes, plan.Teams
 	fle.declared++
 	return fle.put("/v1/values/declarations", plan.declarations(fle.declared))
 }
--- a/stand/fleet/harness_test.go
+++ b/stand/fleet/harness_test.go
@@ -70,7 +70,7 @@
 			{Name: "ordini", Routes: routes, Slots: 50, Connections: 200, Time: 2 * time.Millisecond},
 			{Name: "stampa", Routes: routes, Slots: 50, Connections: 200, Time: 2 * time.Millisecond},
 		},
-		Tenants: []fleet.Tenant{{Name: "verona", Rate: 2000, Burst: 4000}, {Name: "torino", Rate: 2000, Burst: 4000}},
+		Teams: []fleet.Team{{Name: "verona", Rate: 2000, Burst: 4000}, {Name: "torino", Rate: 2000, Burst: 4000}},
 	}
 }
 
@@ -250,13 +250,13 @@
 
 func (sho *shot) ok() bool { return sho.err == nil && sho.status == http.StatusOK }
 
-// refusedForLoad says whether a request was refused, not run, for overload or for its tenant's rate. The loads of these
+// refusedForLoad says whether a request was refused, not run, for overload or for its team's rate. The loads of these
 // tests are far below both, so noRefusal fails on each of them, in a subtest of its own.
 func (sho *shot) refusedForLoad() bool {
 	return sho.err == nil && sho.outcome == "not-run" && (sho.reason == "overload" || sho.reason == "rate_exceeded")
 }
 
-// noRefusal fails a subtest when requests far below the fleet's capacity and their tenant's rate were refused for load.
+// noRefusal fails a subtest when requests far below the fleet's capacity and their team's rate were refused for load.
 func (fix *fixture) noRefusal(t *testing.T) {
 	t.Run("no refusal", func(t *testing.T) {
 		for num, sho := range fix.shed {
--- a/stand/fleet/load.go
+++ b/stand/fleet/load.go
@@ -18,7 +18,7 @@
 // Stream is a flow of equal requests at a fixed rate, whether or not answers arrive.
 type Stream struct {
 	Name    string
-	Tenant  Tenant
+	Team    Team
 	Method  string
 	Path    string // with the service as first segment
 	Rate    float64
@@ -125,7 +125,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	req.Header.Set("Authorization", "Bearer "+str.Tenant.Key())
+	req.Header.Set("Authorization", "Bearer "+str.Team.Key())
 	res, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/stand/fleet/process_test.go
+++ b/stand/fleet/process_test.go
@@ -75,7 +75,7 @@
 }
 
 // Calls that wait at a node when it is paused must not start after the pause, because other hosts may have used their
-// tenant's rate since. Their class has a deadline of 30 s, so that only the age of the admission can refuse them.
+// team's rate since. Their class has a deadline of 30 s, so that only the age of the admission can refuse them.
 func TestPauseWithWaitingCalls(t *testing.T) {
 	fix := start(t, plan())
 	defer fix.noRefusal(t)
