--- a/cmd/amaranthline/main.go
+++ b/cmd/amaranthline/main.go
@@ -15,6 +15,7 @@
 
 	"amaranthline/core/state/decl"
 	"amaranthline/io/node"
+	"amaranthline/io/side"
 	"amaranthline/stand/demo"
 
 	"github.com/alecthomas/kong"
@@ -35,6 +36,7 @@
 	LogFormat string `help:"Format of log lines." enum:"text,json" default:"text" env:"AMARANTHLINE_LOG_FORMAT"`
 
 	Node    nodeCommand    `cmd:"" help:"Run the node beside an upstream."`
+	Sidecar sidecarCommand `cmd:"" help:"Run the node beside an upstream on the users' platform."`
 	Check   checkCommand   `cmd:"" help:"Check a file of declarations or a host list."`
 	Status  statusCommand  `cmd:"" help:"Show what a node believes."`
 	Version versionCommand `cmd:"" help:"Show the version."`
@@ -153,8 +155,17 @@
 
 func main() {
 	var cmds commands
-	parser := kong.Must(&cmds, kong.Name("amaranthline"),
-		kong.Description("Overload control for call graphs of services."), kong.UsageOnError())
+	options := []kong.Option{
+		kong.Name("amaranthline"), kong.Description("Overload control for call graphs of services."), kong.UsageOnError(),
+	}
+	if path := os.Getenv(settingsVariable); path != "" {
+		options = append(options, kong.Configuration(kong.JSON, path))
+	}
+	parser, err := kong.New(&cmds, options...)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "settings file %s: %v; correct it and start again\n", os.Getenv(settingsVariable), err)
+		os.Exit(exitUsage)
+	}
 	kctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
 		_ = parser.Errorf("%s", err)
@@ -164,7 +175,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	kctx.BindTo(ctx, (*context.Context)(nil))
 	kctx.BindTo(os.Stdout, (*io.Writer)(nil))
-	err = kctx.Run(log)
+	err = kctx.Run(log, &cmds)
 	stop()
 	os.Exit(exitCode(err))
 }
@@ -188,7 +199,8 @@
 	}
 	fmt.Fprintln(os.Stderr, err)
 	var set *node.SettingError
-	if errors.As(err, &set) {
+	var sid *side.SettingError
+	if errors.As(err, &set) || errors.As(err, &sid) {
 		return exitUsage
 	}
 	return exitFault
--- /dev/null
+++ b/cmd/amaranthline/sidecar.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"amaranthline/io/side"
+	"amaranthline/platform"
+
+	"github.com/sirupsen/logrus"
+)
+
+// settingsVariable names a JSON file whose fields are the flags of the command.
+const settingsVariable = "AMARANTHLINE_CONFIG"
+
+const (
+	// drainShare is the part of the grace time after which no new calls are taken. Callers leave after two missed
+	// checks, which takes about two seconds; the rest of the grace time is for calls in progress.
+	drainShare = 0.5
+	// stopEarly keeps the end of the process before the end of the grace time.
+	stopEarly = 300 * time.Millisecond
+	// retryPart is the part of the allowed share of retries that nodes use; callers' clocks and windows differ.
+	retryPart = 0.7
+)
+
+type sidecarCommand struct {
+	Host          string        `help:"IP address of this host." required:"" env:"AMARANTHLINE_HOST"`
+	Domain        string        `help:"Failure domain of this host." required:"" env:"AMARANTHLINE_DOMAIN"`
+	Domains       []string      `help:"All failure domains." required:"" env:"AMARANTHLINE_DOMAINS"`
+	Service       string        `help:"Service of the upstream." required:"" env:"AMARANTHLINE_SERVICE"`
+	Upstream      string        `help:"Base URL of the upstream." required:"" env:"AMARANTHLINE_UPSTREAM"`
+	Connections   int           `name:"upstream-connections" help:"Most connections to the upstream." default:"512" env:"AMARANTHLINE_UPSTREAM_CONNECTIONS"`
+	Ingress       string        `help:"Address for callers and the upstream's own calls." required:"" env:"AMARANTHLINE_INGRESS"`
+	Peer          string        `help:"Address for other nodes; its port is the same on all hosts." required:"" env:"AMARANTHLINE_PEER"`
+	Ready         string        `help:"Address for checks of readiness." required:"" env:"AMARANTHLINE_READY"`
+	Admin         string        `help:"Address for operators." required:"" env:"AMARANTHLINE_ADMIN"`
+	Store         string        `help:"Address of the platform's store." required:"" env:"AMARANTHLINE_STORE"`
+	InsecurePeers bool          `help:"Reach peers outside loopback without TLS." env:"AMARANTHLINE_INSECURE_PEERS"`
+	Grace         time.Duration `help:"Time from SIGTERM to the end of the process." default:"6s" env:"AMARANTHLINE_GRACE"`
+	RetryShare    float64       `help:"Allowed share of retries for each service." default:"0.2" env:"AMARANTHLINE_RETRY_SHARE"`
+}
+
+func (cmd *sidecarCommand) settings() side.Settings {
+	pause := time.Duration(drainShare * float64(cmd.Grace))
+	return side.Settings{
+		Host: cmd.Host, Domain: cmd.Domain, Service: cmd.Service, Upstream: cmd.Upstream, Connections: cmd.Connections,
+		Ingress: cmd.Ingress, Peer: cmd.Peer, Ready: cmd.Ready, Admin: cmd.Admin, InsecurePeers: cmd.InsecurePeers,
+		RetryShare: retryPart * cmd.RetryShare, DrainPause: pause, DrainTimeout: max(cmd.Grace-pause-stopEarly, stopEarly),
+	}
+}
+
+// Run runs the node until SIGTERM or SIGINT.
+func (cmd *sidecarCommand) Run(ctx context.Context, cmds *commands) error {
+	out := side.NewOutput(os.Stdout)
+	defer out.Close()
+	log := newLogger(cmds)
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	notes := side.NewNotes(log)
+	set := cmd.settings()
+	if err := set.Check(); err != nil {
+		return err
+	}
+	if !slices.Contains(cmd.Domains, cmd.Domain) {
+		return fmt.Errorf("--domain %q is none of --domains %q; name all failure domains", cmd.Domain, cmd.Domains)
+	}
+	peer, err := netip.ParseAddrPort(cmd.Peer)
+	if err != nil {
+		return err
+	}
+	source := platform.New(platform.Settings{
+		Address: strings.TrimPrefix(cmd.Store, "http://"), Zones: cmd.Domains, PeerPort: peer.Port(), Notes: notes,
+	})
+	nod, err := side.New(set, side.Adapter{
+		Source: source, Callers: platform.Callers{}, Upstream: platform.Upstreams{},
+	}, notes, log)
+	if err != nil {
+		return err
+	}
+	return nod.Run(ctx)
+}
--- a/core/call.go
+++ b/core/call.go
@@ -96,6 +96,13 @@
 	budget     int
 	depth      int
 	print      Fingerprint
+	id         string
+	authority  string
+	origin     string
+	target     time.Duration
+	version    uint64
+	keyed      bool
+	entryRank  int
 }
 
 // CallSpec lists the fields of a new Call.
@@ -112,6 +119,13 @@
 	Budget         int // retries that this call may still spend
 	Depth          int // 0 for the entry call
 	Fingerprint    Fingerprint
+	ID             string        // the caller's own identifier of this attempt, or ""
+	Authority      string        // Host header of the request, or ""
+	Origin         string        // service of the host on which the call began, or ""
+	Target         time.Duration // time within which the root's class wants an answer, or 0
+	Version        uint64        // declarations by which the entry admitted the call, or 0
+	Keyed          bool          // this very call, not only its root, came with a key
+	EntryRank      int           // rank that the entry gave the root, for a call that arrived from a peer
 }
 
 // NewCall returns a call of a root request.
@@ -119,7 +133,9 @@
 	return &Call{
 		Root: spec.Root, service: spec.Service, method: spec.Method, path: spec.Path, header: spec.Header,
 		body: spec.Body, length: spec.Length, idempotent: spec.Idempotent, key: spec.IdempotencyKey,
-		budget: spec.Budget, depth: spec.Depth, print: spec.Fingerprint,
+		budget: spec.Budget, depth: spec.Depth, print: spec.Fingerprint, id: spec.ID, authority: spec.Authority,
+		origin: spec.Origin, target: spec.Target, version: spec.Version, keyed: spec.Keyed,
+		entryRank: spec.EntryRank,
 	}
 }
 
@@ -159,6 +175,27 @@
 // Fingerprint returns what identifies requests like this one.
 func (cal *Call) Fingerprint() Fingerprint { return cal.print }
 
+// CallID returns the caller's own identifier of this attempt, or "".
+func (cal *Call) CallID() string { return cal.id }
+
+// Authority returns the Host header of the request, or "".
+func (cal *Call) Authority() string { return cal.authority }
+
+// Origin returns the service of the host on which the call began, or "".
+func (cal *Call) Origin() string { return cal.origin }
+
+// Target returns the time within which the root's class wants an answer, or 0.
+func (cal *Call) Target() time.Duration { return cal.target }
+
+// Version returns the version of the declarations by which the entry admitted the call, or 0.
+func (cal *Call) Version() uint64 { return cal.version }
+
+// Keyed says whether this very call came with a key; a nested call of a keyed root did not.
+func (cal *Call) Keyed() bool { return cal.keyed }
+
+// EntryRank returns the rank that the entry gave the root, for a call that arrived from a peer.
+func (cal *Call) EntryRank() int { return cal.entryRank }
+
 // Retry returns the call with another body and budget.
 func (cal *Call) Retry(body io.Reader, budget int) *Call {
 	again := *cal
@@ -169,10 +206,13 @@
 
 // Feedback is what an answer tells the calling node about the chain that produced it.
 type Feedback struct {
-	budget   int
-	fraction float64
-	load     float64
-	leaving  bool
+	budget       int
+	fraction     float64
+	load         float64
+	leaving      bool
+	expected     time.Duration
+	step         time.Duration
+	nestedFailed bool
 }
 
 // NewFeedback returns a feedback with unused budget, smallest admission fraction, load and drain state.
@@ -180,6 +220,28 @@
 	return Feedback{budget: budget, fraction: fraction, load: load, leaving: leaving}
 }
 
+// WithExpected adds the time that the serving host expects for one more call until its answer, and by how much each
+// further call lengthens it.
+func (fee Feedback) WithExpected(expected, step time.Duration) Feedback {
+	fee.expected, fee.step = expected, step
+	return fee
+}
+
+// WithNestedFailed adds whether a nested call of this call failed.
+func (fee Feedback) WithNestedFailed(failed bool) Feedback {
+	fee.nestedFailed = failed
+	return fee
+}
+
+// Expected returns the time that the serving host expects for one more call until its answer, or 0 if it did not say.
+func (fee Feedback) Expected() time.Duration { return fee.expected }
+
+// Step returns by how much each further call lengthens the expected time.
+func (fee Feedback) Step() time.Duration { return fee.step }
+
+// NestedFailed says whether a nested call failed, which explains a failure of the application.
+func (fee Feedback) NestedFailed() bool { return fee.nestedFailed }
+
 // Budget returns the unused retries.
 func (fee Feedback) Budget() int { return fee.budget }
 
--- a/core/coordination/flow/flow.go
+++ b/core/coordination/flow/flow.go
@@ -11,6 +11,7 @@
 	"amaranthline/core"
 	"amaranthline/core/coordination/gate"
 	"amaranthline/core/coordination/member"
+	"amaranthline/core/state/body"
 	"amaranthline/core/state/crash"
 	"amaranthline/core/state/decl"
 	"amaranthline/core/state/dedup"
@@ -124,13 +125,13 @@
 		return nil, err
 	}
 	class, team := tar.route.Class().Name(), ""
-	root, body, err := flo.admit(ctx, tar, req, start)
+	root, rep, err := flo.admit(ctx, tar, req, start)
 	if root != nil {
 		team = root.Team()
 	}
 	var ans *core.Answer
 	if err == nil {
-		ans, err = flo.enterRoot(ctx, tar, req, root, body)
+		ans, err = flo.enterRoot(ctx, tar, req, root, rep)
 	}
 	if err != nil {
 		flo.set.Observer.Refused(core.AsRefusal(err).Reason(), class, team)
@@ -143,7 +144,7 @@
 // admit proves the team, makes the root request and takes its rate token. The learned fraction
 // is asked first, so that a request that is refused for overload costs its team no token. The token is taken when
 // the start of the body is there, so that the admission does not age while a slow sender sends it.
-func (flo *Flow) admit(ctx context.Context, tar target, req *core.Request, now time.Time) (*core.Root, *replay, error) {
+func (flo *Flow) admit(ctx context.Context, tar target, req *core.Request, now time.Time) (*core.Root, *body.Replay, error) {
 	cla := tar.route.Class()
 	spec := core.RootSpec{Class: cla.Name(), Rank: cla.Rank(), Open: tar.route.Open(), Deadline: now.Add(cla.Within())}
 	if req.Timeout() > 0 && req.Timeout() < cla.Within() {
@@ -160,16 +161,16 @@
 	if !flo.learner.admits(now, keyOf(tar, req, spec.Team), spec.ID) {
 		return core.NewRoot(spec), nil, refuse(core.ReasonOverload, "service %q is overloaded for class %q", req.Service(), cla.Name()).After(time.Second)
 	}
-	body, err := newReplay(req.Body(), req.Length())
+	rep, err := body.New(req.Body(), req.Length())
 	if err != nil {
 		return core.NewRoot(spec), nil, bodyRefusal(err)
 	}
 	spec.Admitted = time.Now()
 	root := core.NewRoot(spec)
 	if root.Team() == "" {
-		return root, body, nil
+		return root, rep, nil
 	}
-	return root, body, flo.set.Rates.Take(ctx, root.Team())
+	return root, rep, flo.set.Rates.Take(ctx, root.Team())
 }
 
 func prove(sna *decl.Snapshot, secret string) (*decl.Key, error) {
@@ -187,8 +188,8 @@
 	return learnKey{service: req.Service(), pattern: tar.route.Pattern(), team: team}
 }
 
-func (flo *Flow) enterRoot(ctx context.Context, tar target, req *core.Request, root *core.Root, body *replay) (*core.Answer, error) {
-	out := &outgoing{tar: tar, root: root, req: req, body: body, budget: retry.NewBudget(retry.DefaultBudget)}
+func (flo *Flow) enterRoot(ctx context.Context, tar target, req *core.Request, root *core.Root, rep *body.Replay) (*core.Answer, error) {
+	out := &outgoing{tar: tar, root: root, req: req, body: rep, budget: retry.NewBudget(retry.DefaultBudget)}
 	out.learn = func(fraction float64) {
 		flo.learner.learn(time.Now(), keyOf(tar, req, root.Team()), fraction)
 	}
--- a/core/coordination/flow/send.go
+++ b/core/coordination/flow/send.go
@@ -9,6 +9,7 @@
 
 	"amaranthline/core"
 	"amaranthline/core/coordination/route"
+	"amaranthline/core/state/body"
 	"amaranthline/core/state/crash"
 	"amaranthline/core/state/decl"
 	"amaranthline/core/state/dedup"
@@ -27,7 +28,7 @@
 	parent *running // the running call that made it, or nil for a root request
 	learn  func(fraction float64)
 
-	body    *replay
+	body    *body.Replay
 	print   core.Fingerprint
 	tried   []string
 	sent    int
@@ -37,7 +38,7 @@
 func (out *outgoing) call(budget int) *core.Call {
 	return core.NewCall(core.CallSpec{
 		Root: out.root, Service: out.req.Service(), Method: out.req.Method(), Path: out.req.Target(),
-		Header: out.req.Header(), Body: out.body.reader(), Length: out.req.Length(),
+		Header: out.req.Header(), Body: out.body.Reader(), Length: out.req.Length(),
 		Idempotent: out.tar.route.Idempotent(), IdempotencyKey: out.req.IdempotencyKey(),
 		Budget: budget, Depth: out.depth, Fingerprint: out.print,
 	})
@@ -51,13 +52,13 @@
 // send makes attempts until one is answered or no other is allowed.
 func (flo *Flow) send(ctx context.Context, out *outgoing) (*core.Answer, error) {
 	if out.body == nil {
-		body, err := newReplay(out.req.Body(), out.req.Length())
+		rep, err := body.New(out.req.Body(), out.req.Length())
 		if err != nil {
 			return nil, bodyRefusal(err)
 		}
-		out.body = body
+		out.body = rep
 	}
-	out.print = crash.Fingerprint(out.root.Team(), out.req.Service(), out.req.Method(), out.req.Target(), out.body.start())
+	out.print = crash.Fingerprint(out.root.Team(), out.req.Service(), out.req.Method(), out.req.Target(), out.body.Start())
 	if out.parent == nil {
 		return flo.attempts(ctx, out)
 	}
@@ -166,7 +167,7 @@
 	borrowed := out.budget.Borrow()
 	ans, err := flo.forward(ctx, host, out.call(borrowed))
 	if err == nil {
-		ans, err = wholeStart(ans)
+		ans, err = body.WholeStart(ans)
 	}
 	if err == nil {
 		fee := ans.Feedback()
@@ -233,7 +234,7 @@
 	if ref.Reason() == core.ReasonSuspect && ref.Outcome() == core.OutcomeNotRun && !out.suspect && !out.keyed() {
 		// The serving node knows of a crash that this node does not; only the owner may run it.
 		out.suspect = true
-		return out.body.whole
+		return out.body.Whole()
 	}
 	if out.keyed() && ref.Reason() == core.ReasonNoUpstream {
 		return false // the key has one owner, and that cannot be reached
@@ -241,7 +242,7 @@
 	now := time.Now()
 	pause := retry.Backoff(newRand(), out.sent-1)
 	verdict := retry.Decide(retry.Attempt{
-		Failure: ref, Idempotent: out.tar.route.Idempotent(), Replayable: out.body.whole,
+		Failure: ref, Idempotent: out.tar.route.Idempotent(), Replayable: out.body.Whole(),
 		Remaining: out.root.Deadline().Sub(now), Pause: pause, Typical: assumedTypical,
 		Budget: out.budget, Ratio: flo.ratio, Now: now,
 	})
--- /dev/null
+++ b/core/coordination/relay/rates.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthline/core/state/decl"
+	"amaranthline/core/state/meter"
+	"amaranthline/io/protocol/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	reportInterval = 250 * time.Millisecond
+	reportTimeout  = 500 * time.Millisecond
+	// Small demands are reported less often: a team whose demand at this host is below an even part of its rate cannot
+	// be near its rate because of this host.
+	smallEvery = 4 // reports
+)
+
+// Run keeps the parts of the teams' rates and the state of the own upstream until the context ends.
+func (rel *Relay) Run(ctx context.Context) error {
+	var grp sync.WaitGroup
+	defer grp.Wait()
+	grp.Go(func() { rel.own.run(ctx) })
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for count := 0; ; count++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			rel.report(ctx, &grp, count%smallEvery == 0)
+		}
+	}
+}
+
+// report tells the hosts that divide the rates what this host was asked for.
+func (rel *Relay) report(ctx context.Context, grp *sync.WaitGroup, all bool) {
+	sna := rel.set.Snapshot()
+	if sna == nil {
+		return
+	}
+	now := rel.clock.Now()
+	hosts := rel.dividers(sna)
+	messages := map[string]*wire.UsageReport{}
+	for _, usa := range rel.meter.Report(now) {
+		tea := sna.Team(usa.Team())
+		if tea == nil || !all && usa.Demand() < tea.Rate()/float64(len(hosts)+1) {
+			continue
+		}
+		host := rel.set.Host
+		if len(hosts) > 0 {
+			host = decl.Ranked("rate/"+usa.Team(), hosts)[0]
+		}
+		if host == rel.set.Host {
+			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, tea.Rate()))
+			continue
+		}
+		if messages[host] == nil {
+			messages[host] = &wire.UsageReport{}
+		}
+		messages[host].Teams = append(messages[host].Teams, &wire.TeamUsage{Team: usa.Team(), Demand: usa.Demand()})
+	}
+	for host, msg := range messages {
+		grp.Go(func() { rel.exchange(ctx, host, msg) })
+	}
+}
+
+// dividers returns the hosts that may divide rates: all that are listed, stay, and do not show as unreachable.
+func (rel *Relay) dividers(sna *decl.Snapshot) []string {
+	var out []string
+	for _, hos := range sna.Hosts().All() {
+		pst := rel.set.Peers.State(hos.ID())
+		if hos.Leaving() || hos.ID() != rel.set.Host && pst.Known() && (!pst.Up() || pst.Leaving()) {
+			continue
+		}
+		out = append(out, hos.ID())
+	}
+	return out
+}
+
+func (rel *Relay) exchange(ctx context.Context, host string, msg *wire.UsageReport) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := rel.set.Peers.Exchange(ctx, host, msg)
+	if err != nil {
+		rel.set.Notes.Note("rate report failed", "", map[string]any{"host": host, "error": err.Error()})
+		return
+	}
+	parts, ok := reply.(*wire.UsageReply)
+	if !ok {
+		return
+	}
+	for _, par := range parts.GetParts() {
+		rel.meter.Grant(par.GetTeam(), par.GetRate())
+	}
+}
+
+// Control answers the usage reports of peers; it says false for other messages.
+func (rel *Relay) Control(_ context.Context, host string, msg proto.Message) (proto.Message, bool, error) {
+	req, ok := msg.(*wire.UsageReport)
+	if !ok {
+		return nil, false, nil
+	}
+	reply := &wire.UsageReply{}
+	sna := rel.set.Snapshot()
+	if sna == nil {
+		return reply, true, nil
+	}
+	now := rel.clock.Now()
+	for _, usa := range req.GetTeams() {
+		tea := sna.Team(usa.GetTeam())
+		if tea == nil || tea.Unlimited() {
+			continue
+		}
+		part := rel.divider.Part(now, host, meter.NewUsage(usa.GetTeam(), usa.GetDemand()), tea.Rate())
+		reply.Parts = append(reply.Parts, &wire.TeamPart{Team: usa.GetTeam(), Rate: part})
+	}
+	return reply, true, nil
+}
--- /dev/null
+++ b/core/coordination/relay/relay.go
@@ -0,0 +1,315 @@
+package relay
+
+import (
+	"context"
+	crand "crypto/rand"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/core/state/body"
+	"amaranthline/core/state/crash"
+	"amaranthline/core/state/decl"
+	"amaranthline/core/state/meter"
+	"amaranthline/core/state/place"
+	"amaranthline/core/state/retry"
+	"amaranthline/core/state/split"
+)
+
+const (
+	// maxDepth ends call loops; the deepest intended chain has 9 hops.
+	maxDepth = 16
+	// defaultSlots is the concurrency of an upstream that the host list says nothing about.
+	defaultSlots = 16
+	// configurationPause is when a caller may come back to a node that has just started.
+	configurationPause = 300 * time.Millisecond
+)
+
+// Settings configures a Relay.
+type Settings struct {
+	Host     string
+	Domain   string
+	Service  string
+	Peers    core.Peers
+	Upstream core.Monitored
+	Snapshot func() *decl.Snapshot
+	Observer core.Observer
+	Notes    core.Notes
+	Random   *rand.Rand // not shared with other users
+	// RetryShare bounds the further attempts for a service to a share of the calls that this node sends to it.
+	RetryShare float64
+}
+
+// Relay serves requests of callers and of the own upstream, and calls of peers.
+type Relay struct {
+	set      Settings
+	clock    core.Clock
+	table    *place.Table
+	splitter *split.Splitter
+	meter    *meter.Meter
+	divider  *meter.Divider
+	lane     *lane
+	own      *own
+	running  *running
+	leaving  atomic.Bool
+	draining atomic.Bool
+	rng      lockedRand
+
+	mut    sync.Mutex // guards ratios
+	ratios map[string]*retry.Ratio
+}
+
+// New returns a relay.
+func New(set Settings) *Relay {
+	clo := core.NewClock()
+	rel := &Relay{
+		set: set, clock: clo, table: place.New(rand.New(rand.NewPCG(set.Random.Uint64(), set.Random.Uint64()))), //nolint:gosec // no secret
+		splitter: split.New(), meter: meter.New(), divider: meter.NewDivider(), lane: newLane(clo),
+		running: newRunning(), ratios: map[string]*retry.Ratio{}, rng: lockedRand{rng: set.Random},
+	}
+	rel.own = newOwn(set, clo, rel.lane)
+	return rel
+}
+
+// lockedRand is a generator for many goroutines.
+type lockedRand struct {
+	mut sync.Mutex
+	rng *rand.Rand
+}
+
+// between returns a random time between two.
+func (lra *lockedRand) between(low, high time.Duration) time.Duration {
+	lra.mut.Lock()
+	defer lra.mut.Unlock()
+	return low + time.Duration(lra.rng.Float64()*float64(high-low))
+}
+
+// Leave announces that this host is about to stop. Calls that still arrive are served, because peers learn of it only
+// with their next probe or answer.
+func (rel *Relay) Leave() { rel.leaving.Store(true) }
+
+// Leaving says whether Leave was called.
+func (rel *Relay) Leaving() bool { return rel.leaving.Load() }
+
+// Drain makes the relay refuse calls of peers that have not started, so that they go to other hosts.
+func (rel *Relay) Drain() { rel.draining.Store(true) }
+
+// Load returns the calls at the own upstream and those that wait for it, divided by its places.
+func (rel *Relay) Load() float64 { return rel.lane.load() }
+
+// Places returns the places of the own upstream, those that are taken, and the calls that wait.
+func (rel *Relay) Places() (slots, busy, waiting int) { return rel.lane.places() }
+
+// Crashed is called when the own upstream seems to have crashed.
+func (rel *Relay) Crashed() { rel.own.crashed() }
+
+// Update takes a new configuration.
+func (rel *Relay) Update(sna *decl.Snapshot) {
+	now := rel.clock.Now()
+	rel.own.update(now, sna)
+	for name, tea := range sna.Teams() {
+		if !tea.Unlimited() {
+			rel.meter.SetRate(now, name, tea.Rate(), tea.Burst())
+		}
+	}
+	rel.meter.Forget(func(name string) bool {
+		tea := sna.Team(name)
+		return tea != nil && !tea.Unlimited()
+	})
+	ids := make([]string, 0, len(sna.Hosts().All()))
+	for _, hos := range sna.Hosts().All() {
+		ids = append(ids, hos.ID())
+	}
+	rel.table.Keep(ids)
+}
+
+// Observe takes what the connection to a peer shows.
+func (rel *Relay) Observe(host string, pst core.PeerState) {
+	if pst.Known() {
+		rel.table.Observe(rel.clock.Now(), host, pst.Up(), pst.Leaving())
+	}
+}
+
+func refuse(reason core.Reason, format string, args ...any) *core.Refusal {
+	return core.NewRefusal(reason, core.OutcomeNotRun, fmt.Sprintf(format, args...))
+}
+
+// outgoing is a request on its way to a service, over one or more attempts.
+type outgoing struct {
+	sna     *decl.Snapshot
+	ent     *decl.Entry
+	req     *core.Request
+	root    *core.Root
+	parent  *run // the running call that made it, or nil
+	service string
+	target  time.Duration
+	body    *body.Replay
+	keyed   bool
+	began   time.Time
+
+	tried   []string
+	arrived int // attempts that may have reached an upstream
+}
+
+func (out *outgoing) nested() bool { return out.parent != nil }
+
+// Enter serves a request of a caller or of the own upstream.
+func (rel *Relay) Enter(ctx context.Context, req *core.Request) (*core.Answer, error) {
+	out := &outgoing{req: req, began: rel.clock.Now()}
+	ans, err := rel.enter(ctx, out)
+	rel.finished(out, ans, err)
+	return ans, err
+}
+
+// Nested serves a call of the own upstream; on this path it comes in where callers do.
+func (rel *Relay) Nested(ctx context.Context, req *core.Request) (*core.Answer, error) {
+	return rel.Enter(ctx, req)
+}
+
+func (rel *Relay) enter(ctx context.Context, out *outgoing) (*core.Answer, error) {
+	if err := rel.resolve(out); err != nil {
+		return nil, err
+	}
+	if err := rel.identify(out); err != nil {
+		return nil, err
+	}
+	rep, err := body.New(out.req.Body(), out.req.Length())
+	if err != nil {
+		return nil, refuse(core.ReasonCancelled, "the request body ended early").Wrap(err)
+	}
+	out.body = rep
+	out.service = rel.splitter.Next(out.ent)
+	return rel.send(ctx, out)
+}
+
+// resolve finds the entry of a request.
+func (rel *Relay) resolve(out *outgoing) error {
+	out.sna = rel.set.Snapshot()
+	if out.sna == nil {
+		return refuse(core.ReasonNoConfiguration, "no declarations and host list have been received").After(configurationPause)
+	}
+	host := out.req.Authority()
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	out.ent = out.sna.Entry(host, out.req.Path())
+	if out.ent == nil {
+		return refuse(core.ReasonUnknownRoute, "no entry of host %q begins the path %q", host, out.req.Path())
+	}
+	return nil
+}
+
+// identify finds out for whom the request is made, and takes its team's rate. A call of the own upstream carries no
+// key: its identifier begins with that of the running call that made it. It goes on for the team, the rank and the
+// deadline of that call, whose rate has been taken already.
+func (rel *Relay) identify(out *outgoing) error {
+	now := rel.clock.Now()
+	cla := out.ent.Class()
+	out.target = min(cla.Within(), out.ent.Timeout())
+	spec := core.RootSpec{Class: cla.Name(), Rank: cla.Rank(), Open: out.ent.Open(), Admitted: now}
+	spec.Deadline = now.Add(out.ent.Timeout())
+	if out.req.Timeout() > 0 && out.req.Timeout() < out.ent.Timeout() {
+		spec.Deadline = now.Add(out.req.Timeout())
+	}
+	if out.req.Key() == "" {
+		out.parent = rel.running.parent(out.req.ID())
+	}
+	if run := out.parent; run != nil {
+		return out.inherit(run, spec)
+	}
+	_, _ = crand.Read(spec.ID[:]) // crypto/rand.Read never fails
+	key := out.sna.KeyOf(out.req.Key())
+	switch {
+	case key != nil:
+		spec.Team, spec.KeyID = key.Team().Name(), key.ID()
+		out.keyed = true
+	case out.ent.Open():
+	case out.req.Key() != "":
+		return refuse(core.ReasonKeyUnknown, "the key is not valid")
+	case derived(out.req.ID()):
+		return refuse(core.ReasonOrphan, "the call that made this one has ended")
+	case rel.running.empty():
+		return refuse(core.ReasonKeyMissing, "the entry needs a key")
+	}
+	out.root = core.NewRoot(spec)
+	if spec.Team == "" {
+		return nil
+	}
+	if ok, pause := rel.meter.Take(now, spec.Team); !ok {
+		return refuse(core.ReasonRateExceeded, "team %q is above its rate", spec.Team).After(pause)
+	}
+	return nil
+}
+
+// inherit makes the request a part of the root that a running call belongs to.
+func (out *outgoing) inherit(run *run, spec core.RootSpec) error {
+	if run.call.Depth() >= maxDepth {
+		return refuse(core.ReasonBadRequest, "the chain is more than %d calls deep", maxDepth)
+	}
+	spec.ID, spec.Team, spec.KeyID = run.call.ID(), run.call.Team(), run.call.KeyID()
+	spec.Class, spec.Rank, spec.Open = run.call.Class(), run.call.EntryRank(), run.call.Open()
+	if run.call.Deadline().Before(spec.Deadline) {
+		spec.Deadline = run.call.Deadline()
+	}
+	out.target = run.call.Target()
+	out.root = core.NewRoot(spec)
+	return nil
+}
+
+// call returns one attempt as a call.
+func (out *outgoing) call(origin string) *core.Call {
+	depth := 0
+	if out.parent != nil {
+		depth = out.parent.call.Depth() + 1
+	}
+	return core.NewCall(core.CallSpec{
+		Root: out.root, Service: out.service, Method: out.req.Method(), Path: out.req.Target(), Header: out.req.Header(),
+		Body: out.body.Reader(), Length: out.req.Length(), Idempotent: out.ent.Idempotent(), Depth: depth,
+		Fingerprint: crash.Fingerprint(out.root.Team(), out.service, out.req.Method(), out.req.Target(), out.body.Start()),
+		ID:          out.req.ID(), Authority: out.req.Authority(), Origin: origin, Target: out.target,
+		Version: out.sna.Version(), Keyed: out.keyed, EntryRank: out.root.Rank(),
+	})
+}
+
+// finished counts and logs how a request ended at its entry.
+func (rel *Relay) finished(out *outgoing, ans *core.Answer, err error) {
+	class, team := "", ""
+	if out.root != nil {
+		class, team = out.root.Class(), out.root.Team()
+	}
+	took := rel.clock.Now().Sub(out.began)
+	if err == nil {
+		rel.set.Observer.Served(class, team, out.nested(), took)
+		rel.note("request answered", out, map[string]any{"status": ans.Status(), "took_ms": took.Milliseconds()})
+		return
+	}
+	ref := core.AsRefusal(err)
+	rel.set.Observer.Refused(ref.Reason(), class, team)
+	rel.note("request refused", out, map[string]any{
+		"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
+		"retry_after_ms": ref.RetryAfter().Milliseconds(), "took_ms": took.Milliseconds(),
+	})
+	if out.parent != nil {
+		out.parent.failed.Store(true)
+	}
+}
+
+// note logs a decision about a request at its entry.
+func (rel *Relay) note(event string, out *outgoing, fields map[string]any) {
+	if out.ent != nil {
+		fields["entry"] = out.ent.Name()
+	}
+	if out.root != nil {
+		fields["root"], fields["class"], fields["team"] = out.root.ID().String(), out.root.Class(), out.root.Team()
+	}
+	if out.sna != nil {
+		fields["declarations"], fields["hosts"] = out.sna.Version(), out.sna.Hosts().Version()
+	}
+	fields["service"], fields["tried"] = out.service, strings.Join(out.tried, " ")
+	rel.set.Notes.Note(event, out.req.ID(), fields)
+}
--- /dev/null
+++ b/core/coordination/relay/send.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/core/state/body"
+	"amaranthline/core/state/place"
+	"amaranthline/core/state/retry"
+)
+
+const (
+	// maxHosts is how many hosts are asked for one request. A host that refuses before it has sent the call costs a
+	// round trip between nodes and nothing at the upstream.
+	maxHosts = 3
+	// leastRetry is the time that must be left for another attempt.
+	leastRetry = 30 * time.Millisecond
+	// A refused caller comes back within this part of its class's target, so that its answer can still be in time; the
+	// spread keeps those refused together from returning together.
+	comeBackEarly = 0.2
+	comeBackLate  = 0.45
+)
+
+// send makes attempts until one is answered or no other is allowed.
+func (rel *Relay) send(ctx context.Context, out *outgoing) (*core.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, out.root.Deadline())
+	if out.parent != nil {
+		// A nested call ends with the running call as well as with its own connection.
+		stop := context.AfterFunc(out.parent.ctx, cancel)
+		defer stop()
+	}
+	ans, err := rel.attempts(ctx, out)
+	if err != nil {
+		cancel()
+		return nil, rel.final(out, core.AsRefusal(err))
+	}
+	return core.NewAnswer(ans.Status(), ans.Header(), &closing{ans, cancel}, ans.Feedback), nil
+}
+
+// closing ends the context of a request when its answer has been closed.
+type closing struct {
+	*core.Answer
+	cancel context.CancelFunc
+}
+
+// Read reads the body of the answer.
+func (clo *closing) Read(data []byte) (int, error) { return clo.Body().Read(data) }
+
+// Close closes the body of the answer.
+func (clo *closing) Close() error {
+	defer clo.cancel()
+	return clo.Body().Close()
+}
+
+func (rel *Relay) attempts(ctx context.Context, out *outgoing) (*core.Answer, error) {
+	ratio := rel.ratio(out.service)
+	ratio.Call(rel.clock.Now())
+	var failed *core.Answer // a failure of the application, which the caller gets if no other attempt does better
+	var last error
+	for {
+		host, ok := rel.choose(out)
+		if !ok {
+			break
+		}
+		ans, err := rel.attempt(ctx, out, host)
+		if err == nil && !rel.worthRepeating(out, ans) {
+			return ans, nil
+		}
+		if err == nil {
+			failed, last = ans, nil
+		} else {
+			last = err
+		}
+		if !rel.again(ctx, out, err, ratio) {
+			break
+		}
+	}
+	switch {
+	case failed != nil:
+		return failed, nil
+	case last != nil:
+		return nil, last
+	}
+	return nil, refuse(core.ReasonNoUpstream, "no host of service %q can be reached", out.service)
+}
+
+func (rel *Relay) ratio(service string) *retry.Ratio {
+	rel.mut.Lock()
+	defer rel.mut.Unlock()
+	rat := rel.ratios[service]
+	if rat == nil {
+		rat = retry.NewRatio(rel.set.RetryShare, 0)
+		rel.ratios[service] = rat
+	}
+	return rat
+}
+
+// choose returns the host of the next attempt.
+func (rel *Relay) choose(out *outgoing) (string, bool) {
+	if len(out.tried) >= maxHosts {
+		return "", false
+	}
+	var cans []place.Candidate
+	for _, hos := range out.sna.Hosts().OfService(out.service) {
+		if dom := out.sna.Domain(hos.Domain()); hos.Leaving() || dom != nil && dom.Out() {
+			continue
+		}
+		if hos.ID() == rel.set.Host && rel.Leaving() {
+			continue
+		}
+		cans = append(cans, place.NewCandidate(hos.ID(), hos.Domain() == rel.set.Domain))
+	}
+	return rel.table.Pick(rel.clock.Now(), cans, out.tried)
+}
+
+// attempt sends the request to one host and learns from the end of the call.
+func (rel *Relay) attempt(ctx context.Context, out *outgoing, host string) (*core.Answer, error) {
+	out.tried = append(out.tried, host)
+	call := out.call(rel.set.Service)
+	rel.table.Sent(host)
+	var ans *core.Answer
+	var err error
+	if host == rel.set.Host {
+		ans, err = rel.Serve(ctx, call)
+	} else {
+		ans, err = rel.set.Peers.Forward(ctx, host, call)
+	}
+	if err == nil {
+		ans, err = body.WholeStart(ans)
+	}
+	now := rel.clock.Now()
+	if err == nil {
+		out.arrived++
+		rel.answered(now, host, ans)
+		return ans, nil
+	}
+	ref := core.AsRefusal(err)
+	if ref.Outcome() != core.OutcomeNotRun || ref.Reason() == core.ReasonShed || ref.Reason() == core.ReasonWrongInstance {
+		out.arrived++
+	}
+	rel.failed(now, host, err)
+	return nil, err
+}
+
+func (rel *Relay) answered(now time.Time, host string, ans *core.Answer) {
+	fee := ans.Feedback()
+	bad := ans.Status() >= http.StatusInternalServerError && !fee.NestedFailed()
+	rel.table.Report(now, host, fee.Expected(), fee.Step(), bad)
+	if fee.Leaving() {
+		rel.table.Leaving(now, host)
+	}
+}
+
+// failed learns from a call without an answer.
+func (rel *Relay) failed(now time.Time, host string, err error) {
+	ref := core.AsRefusal(err)
+	var fer *core.FeedbackError
+	switch {
+	case errors.As(err, &fer):
+		fee := fer.Feedback()
+		rel.table.Report(now, host, fee.Expected(), fee.Step(), hostFault(ref.Reason()))
+		if fee.Leaving() || ref.Reason() == core.ReasonDraining {
+			rel.table.Leaving(now, host)
+		}
+	case ref.Reason() == core.ReasonCancelled:
+		rel.table.Left(host)
+	case ref.Reason() == core.ReasonPeerFailed, ref.Reason() == core.ReasonNoUpstream:
+		rel.table.Unreachable(now, host)
+	default:
+		rel.table.Report(now, host, 0, 0, true)
+	}
+}
+
+// hostFault says whether a refusal speaks against its host, and not only against its load or the request.
+func hostFault(reason core.Reason) bool {
+	switch reason {
+	case core.ReasonShed, core.ReasonUpstreamFailed, core.ReasonTruncated, core.ReasonForeignAnswer,
+		core.ReasonNoUpstream, core.ReasonWrongInstance, core.ReasonDeadline:
+		return true
+	}
+	return false
+}
+
+// worthRepeating says whether a failure of the application may be different at another host.
+func (rel *Relay) worthRepeating(out *outgoing, ans *core.Answer) bool {
+	return ans.Status() >= http.StatusInternalServerError && out.ent.Idempotent() && !ans.Feedback().NestedFailed()
+}
+
+// elsewhere lists the reasons that another host of the service may not have.
+var elsewhere = map[core.Reason]bool{
+	core.ReasonOverload: true, core.ReasonCold: true, core.ReasonShed: true, core.ReasonDraining: true,
+	core.ReasonDomainOut: true, core.ReasonNoConfiguration: true, core.ReasonNoUpstream: true,
+	core.ReasonWrongInstance: true, core.ReasonUpstreamFailed: true, core.ReasonTruncated: true,
+	core.ReasonForeignAnswer: true, core.ReasonPeerFailed: true, core.ReasonDeadline: true,
+}
+
+// again says whether another host is asked after a failure; err is nil for a failure of the application. An attempt
+// that reached an upstream is repeated only within the entry's attempts and the share of retries for the service.
+func (rel *Relay) again(ctx context.Context, out *outgoing, err error, ratio *retry.Ratio) bool {
+	now := rel.clock.Now()
+	if ctx.Err() != nil || out.root.Deadline().Sub(now) < leastRetry || !out.body.Whole() {
+		return false
+	}
+	if out.parent != nil && out.parent.ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		ref := core.AsRefusal(err)
+		if !elsewhere[ref.Reason()] || ref.Outcome() != core.OutcomeNotRun && !out.ent.Idempotent() {
+			return false
+		}
+	}
+	if out.arrived == 0 {
+		return true
+	}
+	if out.arrived >= out.ent.Attempts() || !ratio.Allow(now) {
+		return false
+	}
+	rel.set.Observer.Retried(out.root.Class())
+	return true
+}
+
+// final gives a refusal the form in which the caller gets it. A request that has not run is refused as such also at
+// its deadline, and tells the caller when to come back.
+func (rel *Relay) final(out *outgoing, ref *core.Refusal) *core.Refusal {
+	if ref.Outcome() != core.OutcomeNotRun {
+		return ref
+	}
+	switch ref.Reason() {
+	case core.ReasonCancelled, core.ReasonKeyUnknown, core.ReasonBadRequest:
+		return ref
+	case core.ReasonDeadline, core.ReasonPeerFailed:
+		ref = refuse(core.ReasonOverload, "%s", ref.Detail()).Wrap(ref)
+	}
+	if out.nested() {
+		return ref
+	}
+	target := out.target.Seconds()
+	return ref.After(rel.rng.between(seconds(target*comeBackEarly), seconds(target*comeBackLate)))
+}
+
+func seconds(val float64) time.Duration { return time.Duration(val * float64(time.Second)) }
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -46,6 +46,10 @@
 	OnChange func(*decl.Snapshot)
 	// BootSpread is the longest random pause of a starting node before a direct read; zero means 2 s.
 	BootSpread time.Duration
+	// OnRefused is called for each document that is refused; it may be nil.
+	OnRefused func(error)
+	// MaxBackoff is the longest pause between calls to a platform that fails; zero means 5 s.
+	MaxBackoff time.Duration
 }
 
 // Spreader keeps the documents of one node current.
@@ -79,6 +83,9 @@
 	if set.BootSpread == 0 {
 		set.BootSpread = bootSpread
 	}
+	if set.MaxBackoff == 0 {
+		set.MaxBackoff = maxBackoff
+	}
 	spr := &Spreader{
 		set: set, changed: make(chan string, 1), store: NewStore(), overlay: NewOverlay(set.Self, set.Domain),
 		fresh: NewFreshness(time.Now()), direct: map[string]*direct{}, pulls: map[string]*pull{},
@@ -383,6 +390,9 @@
 	spr.applying.Lock()
 	defer spr.applying.Unlock()
 	changed, err := spr.install(doc, packed)
+	if err != nil && spr.set.OnRefused != nil {
+		spr.set.OnRefused(err)
+	}
 	if !changed {
 		return err
 	}
--- a/core/coordination/spread/watch.go
+++ b/core/coordination/spread/watch.go
@@ -49,7 +49,7 @@
 func (spr *Spreader) boot(ctx context.Context) {
 	for _, name := range names {
 		pause := spr.random(spr.set.BootSpread)
-		bac := spr.newBackoff(maxBootBackoff)
+		bac := spr.newBackoff(max(spr.set.MaxBackoff, min(maxBootBackoff, 2*spr.set.MaxBackoff)))
 		for sleep(ctx, pause) && !spr.holds(name) {
 			if err := spr.read(ctx, name, &spr.counts.bootReads); err == nil {
 				break
@@ -92,7 +92,7 @@
 
 // watch follows one document at the platform while this node is a watcher of its failure domain.
 func (spr *Spreader) watch(ctx context.Context, name string) {
-	bac := spr.newBackoff(maxBackoff)
+	bac := spr.newBackoff(spr.set.MaxBackoff)
 	for ctx.Err() == nil {
 		if !spr.Watching() {
 			sleep(ctx, watcherCheck)
--- a/core/ports.go
+++ b/core/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,6 +20,66 @@
 	Do(ctx context.Context, call *Call, token string) (*Answer, error)
 }
 
+// Health is what an upstream says of itself when it is asked.
+type Health struct {
+	instance string
+	serving  bool
+	cold     time.Duration
+}
+
+// NewHealth returns what an upstream said: which start of it answered, whether it takes work, and how long it stays cold.
+func NewHealth(instance string, serving bool, cold time.Duration) Health {
+	return Health{instance: instance, serving: serving, cold: cold}
+}
+
+// Instance returns the identifier of the upstream's present start, or "".
+func (hea Health) Instance() string { return hea.instance }
+
+// Serving says whether the upstream takes work.
+func (hea Health) Serving() bool { return hea.serving }
+
+// Cold returns how much longer the upstream stays cold.
+func (hea Health) Cold() time.Duration { return hea.cold }
+
+// Monitored is an upstream that can be asked for its health, and that is told which of its starts is meant.
+type Monitored interface {
+	Upstream
+	// Expect names the start of the upstream to which further calls are sent; "" means any.
+	Expect(instance string)
+	// Health asks the upstream at a path.
+	Health(ctx context.Context, path string) (Health, error)
+}
+
+// Notes takes the log lines of decisions and must not block. Lines beyond a rate are counted instead of written.
+type Notes interface {
+	// Note writes one line: what was decided, for which caller's attempt, and by which inputs.
+	Note(event, call string, fields map[string]any)
+}
+
+// CallerDialect translates between requests of callers and the headers that they use.
+type CallerDialect interface {
+	// Read takes what the request path needs from a request. The header in the result is the caller's end-to-end
+	// header without what only the system may set.
+	Read(hrq *http.Request) (RequestSpec, *Refusal)
+	// Refuse sets the headers of a refusal.
+	Refuse(hdr http.Header, ref *Refusal)
+	// Answer changes the end-to-end headers of a whole answer.
+	Answer(hdr http.Header)
+}
+
+// UpstreamDialect translates between calls and the headers that an upstream uses.
+type UpstreamDialect interface {
+	// Send sets the headers of a call; token is what its nested calls present, and instance names the start of the
+	// upstream that is meant, or is "".
+	Send(hdr http.Header, call *Call, token, instance string, remaining time.Duration)
+	// Judge returns nil for an answer of the application to this call, or the refusal that the answer stands for.
+	Judge(call *Call, status int, hdr http.Header) *Refusal
+	// Answer changes the end-to-end headers of an answer.
+	Answer(hdr http.Header)
+	// Health reads the answer to a health check.
+	Health(status int, hdr http.Header) Health
+}
+
 // Peers reaches the other nodes.
 type Peers interface {
 	// Forward sends a call to the node of a host.
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -62,6 +62,11 @@
 	ReasonTruncated       Reason = "truncated"
 	ReasonPeerFailed      Reason = "peer_failed"
 	ReasonCallToken       Reason = "call_token"
+	ReasonWrongInstance   Reason = "wrong_instance"
+	ReasonForeignAnswer   Reason = "foreign_answer"
+	ReasonShed            Reason = "upstream_shed"
+	ReasonCold            Reason = "cold"
+	ReasonOrphan          Reason = "orphan"
 )
 
 // refusalKind is the HTTP status and the remedy of one reason.
@@ -97,6 +102,11 @@
 	ReasonUpstreamFailed:  {http.StatusBadGateway, "check the state of the resource; the upstream connection failed"},
 	ReasonTruncated:       {http.StatusBadGateway, "send an idempotent request again; the answer was cut short"},
 	ReasonPeerFailed:      {http.StatusBadGateway, "check the state of the resource; the connection to the serving node failed"},
+	ReasonWrongInstance:   {http.StatusServiceUnavailable, "retry; the upstream has been replaced"},
+	ReasonShed:            {http.StatusServiceUnavailable, "retry after a pause; the upstream refused the request"},
+	ReasonCold:            {http.StatusServiceUnavailable, "retry after a pause; the upstream has just started"},
+	ReasonOrphan:          {http.StatusServiceUnavailable, "do not call any more for a request that has ended"},
+	ReasonForeignAnswer:   {http.StatusBadGateway, "check the state of the resource; the upstream answered another request"},
 	ReasonCallToken:       {http.StatusForbidden, "pass on the Amaranthline-Call header of the request being served"},
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -20,6 +20,8 @@
 	length         int64
 	timeout        time.Duration
 	idempotencyKey string
+	id             string
+	authority      string
 }
 
 // RequestSpec lists the fields of a new Request.
@@ -35,6 +37,8 @@
 	Length         int64       // -1 when unknown
 	Timeout        time.Duration
 	IdempotencyKey string
+	ID             string // the caller's own identifier of this attempt, or ""
+	Authority      string // Host header
 }
 
 // NewRequest returns a request as received.
@@ -42,6 +46,7 @@
 	return &Request{
 		key: spec.Key, token: spec.Token, service: spec.Service, method: spec.Method, path: spec.Path, query: spec.Query,
 		header: spec.Header, body: spec.Body, length: spec.Length, timeout: spec.Timeout, idempotencyKey: spec.IdempotencyKey,
+		id: spec.ID, authority: spec.Authority,
 	}
 }
 
@@ -83,6 +88,12 @@
 // IdempotencyKey returns the caller's idempotency key, or "".
 func (req *Request) IdempotencyKey() string { return req.idempotencyKey }
 
+// ID returns the caller's own identifier of this attempt, or "".
+func (req *Request) ID() string { return req.id }
+
+// Authority returns the Host header.
+func (req *Request) Authority() string { return req.authority }
+
 // Entry serves requests as the HTTP front receives them.
 type Entry interface {
 	// Enter serves a root request of a caller.
--- a/core/coordination/flow/body.go
+++ b/core/state/body/body.go
@@ -1,4 +1,4 @@
-package flow
+package body
 
 import (
 	"bytes"
@@ -16,17 +16,17 @@
 	maxWhole = 64 << 10
 )
 
-// replay is a request body that can be sent again as long as it is small.
-type replay struct {
+// Replay is a request body that can be sent again as long as it is small.
+type Replay struct {
 	kept  []byte
 	rest  io.Reader
 	whole bool
 }
 
-// newReplay reads the start of a body.
-func newReplay(body io.Reader, length int64) (*replay, error) {
-	if body == nil {
-		return &replay{whole: true}, nil
+// New reads the start of a body.
+func New(src io.Reader, length int64) (*Replay, error) {
+	if src == nil {
+		return &Replay{whole: true}, nil
 	}
 	size := int64(maxReplay)
 	if length >= 0 {
@@ -34,18 +34,18 @@
 	}
 	kept := make([]byte, 0, min(size+1, maxReplay))
 	buf := bytes.NewBuffer(kept)
-	_, err := io.CopyN(buf, body, maxReplay)
+	_, err := io.CopyN(buf, src, maxReplay)
 	if errors.Is(err, io.EOF) {
-		return &replay{kept: buf.Bytes(), whole: true}, nil
+		return &Replay{kept: buf.Bytes(), whole: true}, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &replay{kept: buf.Bytes(), rest: body}, nil
+	return &Replay{kept: buf.Bytes(), rest: src}, nil
 }
 
-// reader returns the body for one attempt; only a whole body can be read twice.
-func (rep *replay) reader() io.Reader {
+// Reader returns the body for one attempt; only a whole body can be read twice.
+func (rep *Replay) Reader() io.Reader {
 	if rep.whole && len(rep.kept) == 0 {
 		return nil
 	}
@@ -55,8 +55,11 @@
 	return io.MultiReader(bytes.NewReader(rep.kept), rep.rest)
 }
 
-// start returns what has been read of the body.
-func (rep *replay) start() []byte { return rep.kept }
+// Whole says whether the body can be sent again.
+func (rep *Replay) Whole() bool { return rep.whole }
+
+// Start returns what has been read of the body.
+func (rep *Replay) Start() []byte { return rep.kept }
 
 // buffered is an answer body of which the first part has been read.
 type buffered struct {
@@ -64,16 +67,16 @@
 	io.Closer
 }
 
-// wholeStart reads the first part of an answer; the error says that the answer was cut short.
-func wholeStart(ans *core.Answer) (*core.Answer, error) {
+// WholeStart reads the first part of an answer; the error says that the answer was cut short.
+func WholeStart(ans *core.Answer) (*core.Answer, error) {
 	start, err := io.ReadAll(io.LimitReader(ans.Body(), maxWhole))
 	if err != nil {
 		_ = ans.Body().Close()
 		return nil, err
 	}
-	body := buffered{Reader: bytes.NewReader(start), Closer: ans.Body()}
+	bod := buffered{Reader: bytes.NewReader(start), Closer: ans.Body()}
 	if len(start) == maxWhole {
-		body.Reader = io.MultiReader(body.Reader, ans.Body())
+		bod.Reader = io.MultiReader(bod.Reader, ans.Body())
 	}
-	return core.NewAnswer(ans.Status(), ans.Header(), body, ans.Feedback), nil
+	return core.NewAnswer(ans.Status(), ans.Header(), bod, ans.Feedback), nil
 }
--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -19,6 +19,7 @@
 	name     string
 	answered float64
 	within   time.Duration
+	priority *int
 	rank     int
 }
 
@@ -61,8 +62,12 @@
 
 // Service is a named set of routes.
 type Service struct {
-	name   string
-	routes []*Route
+	name        string
+	routes      []*Route
+	connections int
+	health      string
+	coldRate    float64
+	coldTime    time.Duration
 }
 
 // Name returns the declared name.
@@ -71,6 +76,18 @@
 // Routes returns the routes in match order.
 func (ser *Service) Routes() []*Route { return ser.routes }
 
+// Connections returns how many connections an upstream of the service accepts, or 0 if that is not declared.
+func (ser *Service) Connections() int { return ser.connections }
+
+// Health returns the path of the service's health check, or "".
+func (ser *Service) Health() string { return ser.health }
+
+// ColdRate returns how many requests a second a cold upstream of the service bears, or 0 if that is not declared.
+func (ser *Service) ColdRate() float64 { return ser.coldRate }
+
+// ColdTime returns how long an upstream of the service is cold after its start.
+func (ser *Service) ColdTime() time.Duration { return ser.coldTime }
+
 // Match returns the route for a method and a path without query, or nil.
 func (ser *Service) Match(method, path string) *Route {
 	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
@@ -106,9 +123,11 @@
 
 // Team is a group of callers with a rate and a burst that count across all hosts.
 type Team struct {
-	name  string
-	rate  float64
-	burst float64
+	name      string
+	rate      float64
+	burst     float64
+	unlimited bool
+	priority  int
 }
 
 // Name returns the declared name.
@@ -120,6 +139,12 @@
 // Burst returns the requests at once across all hosts.
 func (tea *Team) Burst() float64 { return tea.burst }
 
+// Unlimited says whether the team has no rate.
+func (tea *Team) Unlimited() bool { return tea.unlimited }
+
+// Priority returns the place of the team among teams that ask for the same class; 0, the default, goes first.
+func (tea *Team) Priority() int { return tea.priority }
+
 // Key is a credential of a team, known only by its digest.
 type Key struct {
 	id     string
@@ -163,6 +188,9 @@
 	keyIDs   map[string]*Key
 	domains  map[string]*Domain
 	names    []string
+	entries  []*Entry
+	byHost   map[string][]*Entry
+	limits   Limits
 }
 
 // Version returns the published version.
@@ -217,13 +245,15 @@
 		services: map[string]*Service{}, teams: map[string]*Team{}, domains: map[string]*Domain{},
 		keys: map[[sha256.Size]byte]*Key{}, keyIDs: map[string]*Key{},
 	}
-	if rea.known(root, "version", "classes", "services", "teams", "keys", "domains") {
+	if rea.known(root, "version", "classes", "services", "teams", "keys", "domains", "entries", "limits") {
 		dec.version = rea.version(root)
 		dec.readClasses(rea, root)
 		dec.readServices(rea, root)
 		dec.readTeams(rea, root)
 		dec.readKeys(rea, root)
 		dec.readDomains(rea, root)
+		dec.readEntries(rea, root)
+		dec.readLimits(rea, root)
 	}
 	if len(rea.faults) > 0 {
 		return nil, errors.Join(rea.faults...)
@@ -234,7 +264,7 @@
 func (dec *Declarations) readClasses(rea *reader, root *node) {
 	seen := map[string]bool{}
 	for _, nod := range rea.items(root, "classes") {
-		if !rea.known(nod, "name", "target") {
+		if !rea.known(nod, "name", "target", "priority") {
 			continue
 		}
 		cla := &Class{name: rea.text(nod, "name")}
@@ -247,17 +277,31 @@
 			}
 			cla.within = rea.duration(target, "within")
 		}
+		if child := nod.fields["priority"]; child != nil {
+			priority := rea.count(nod, "priority")
+			cla.priority = &priority
+		}
 		dec.classes = append(dec.classes, cla)
 	}
 	slices.SortFunc(dec.classes, compareTargets)
 	for i, cla := range dec.classes {
 		cla.rank = i
+		if cla.priority != nil {
+			cla.rank = *cla.priority
+		}
+		if (cla.priority == nil) != (dec.classes[0].priority == nil) {
+			rea.fault(root.line, "classes", "gives a priority to some classes only", "give one to all classes or to none")
+			break
+		}
 	}
 }
 
-// compareTargets puts the stricter target first: it tolerates fewer unanswered requests, or less time.
+// compareTargets puts the stricter target first: it tolerates fewer unanswered requests, or less time. A priority
+// that another system has numbered already goes before the target; classes of one priority share their rank.
 func compareTargets(one, two *Class) int {
 	switch {
+	case one.priority != nil && two.priority != nil && *one.priority != *two.priority:
+		return *one.priority - *two.priority
 	case one.answered != two.answered && one.answered > two.answered:
 		return -1
 	case one.answered != two.answered:
@@ -273,7 +317,7 @@
 func (dec *Declarations) readServices(rea *reader, root *node) {
 	seen := map[string]bool{}
 	for _, nod := range rea.items(root, "services") {
-		if !rea.known(nod, "name", "routes") {
+		if !rea.known(nod, "name", "routes", "upstream") {
 			continue
 		}
 		ser := &Service{name: rea.text(nod, "name")}
@@ -289,6 +333,7 @@
 			}
 		}
 		slices.SortStableFunc(ser.routes, compareRoutes)
+		ser.readUpstream(rea, nod)
 		dec.services[ser.name] = ser
 	}
 }
@@ -358,10 +403,16 @@
 func (dec *Declarations) readTeams(rea *reader, root *node) {
 	seen := map[string]bool{}
 	for _, nod := range rea.items(root, "teams") {
-		if !rea.known(nod, "name", "rate", "burst") {
+		if !rea.known(nod, "name", "rate", "burst", "unlimited", "priority") {
 			continue
 		}
-		tea := &Team{name: rea.text(nod, "name"), rate: rea.positive(nod, "rate"), burst: rea.positive(nod, "burst")}
+		tea := &Team{name: rea.text(nod, "name"), unlimited: rea.flag(nod, "unlimited")}
+		if !tea.unlimited {
+			tea.rate, tea.burst = rea.positive(nod, "rate"), rea.positive(nod, "burst")
+		}
+		if nod.fields["priority"] != nil {
+			tea.priority = rea.count(nod, "priority")
+		}
 		rea.unique(seen, nod, tea.name)
 		if child := nod.fields["burst"]; child != nil && tea.burst < 1 {
 			rea.faultAt(child, "is below 1", "allow at least one request at once")
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Host is one machine on the published list.
@@ -16,6 +17,10 @@
 	service string
 	peer    string
 	leaving bool
+
+	instance string
+	slots    int
+	cold     time.Duration
 }
 
 // ID returns the host's name.
@@ -33,6 +38,15 @@
 // Leaving says whether the list marks the host as leaving.
 func (hos *Host) Leaving() bool { return hos.leaving }
 
+// Instance returns the identifier of the upstream's present start, or "" if the list has none.
+func (hos *Host) Instance() string { return hos.instance }
+
+// Slots returns how many requests the upstream runs at once, or 0 if the list does not say.
+func (hos *Host) Slots() int { return hos.slots }
+
+// Cold returns how much longer the upstream was cold when the list was written.
+func (hos *Host) Cold() time.Duration { return hos.cold }
+
 // Hosts is one checked version of the host list; it does not change.
 type Hosts struct {
 	version  uint64
@@ -123,13 +137,22 @@
 func (hos *Hosts) readHosts(rea *reader, root *node) {
 	ids, addrs := map[string]bool{}, map[string]bool{}
 	for _, nod := range rea.items(root, "hosts") {
-		if !rea.known(nod, "id", "domain", "service", "peer", "state") {
+		if !rea.known(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold") {
 			continue
 		}
 		item := &Host{
 			id: rea.text(nod, "id"), domain: rea.text(nod, "domain"), service: rea.text(nod, "service"),
 			peer: rea.text(nod, "peer"), leaving: rea.choice(nod, "state", "live", "leaving") == "leaving",
 		}
+		if nod.fields["instance"] != nil {
+			item.instance = rea.text(nod, "instance")
+		}
+		if nod.fields["slots"] != nil {
+			item.slots = rea.count(nod, "slots")
+		}
+		if nod.fields["cold"] != nil {
+			item.cold = rea.duration(nod, "cold")
+		}
 		rea.unique(ids, nod, item.id)
 		rea.unique(addrs, nod, item.peer)
 		if _, err := netip.ParseAddrPort(item.peer); item.peer != "" && err != nil {
--- a/core/state/decl/tree.go
+++ b/core/state/decl/tree.go
@@ -267,6 +267,16 @@
 	return val
 }
 
+// count reads a whole number that is not negative.
+func (rea *reader) count(nod *node, name string) int {
+	val := rea.number(nod, name)
+	if child := nod.fields[name]; child != nil && (val < 0 || val > math.MaxInt32 || val != math.Trunc(val)) {
+		rea.faultAt(child, "is not a count", "give a whole number, 0 or above")
+		return 0
+	}
+	return int(val)
+}
+
 func (rea *reader) version(nod *node) uint64 {
 	child := rea.get(nod, "version")
 	if child == nil {
--- /dev/null
+++ b/core/state/stage/window.go
@@ -0,0 +1,106 @@
+package stage
+
+import "time"
+
+const (
+	// windowShare is the part of the target within which the roots in flight finish at the present rate. The rest is
+	// left for the spread of their times.
+	windowShare = 0.85
+	// rateTime is the time over which completions are counted. It is about the time of one root, so that a rate that
+	// falls shows before many more roots have been admitted.
+	rateTime = time.Second
+	buckets  = 10
+	// leastWindow and leastShare keep a window open for roots of a class that has seen none finish lately: after a
+	// pause, or while every chain fails, some must be tried. The larger one holds.
+	leastWindow = 4
+	leastShare  = 1.0 / 8 // of the slots
+	// openTime is how long a class without history is not limited, about two roots long.
+	openTime = 2 * time.Second
+)
+
+// window bounds the roots of one class that are in flight at a host.
+type window struct {
+	flying int
+	began  time.Time // first root
+	target time.Duration
+	counts [buckets]int // completions, by tenth of rateTime
+	at     int64        // number of the newest bucket
+}
+
+const bucketTime = rateTime / buckets
+
+func bucketOf(now time.Time) int64 { return now.UnixNano() / int64(bucketTime) }
+
+// roll empties the buckets that have passed.
+func (win *window) roll(now time.Time) {
+	at := bucketOf(now)
+	for num := max(win.at+1, at-buckets+1); num <= at; num++ {
+		win.counts[num%buckets] = 0
+	}
+	win.at = max(win.at, at)
+}
+
+func (win *window) rate(now time.Time) float64 {
+	win.roll(now)
+	total := 0
+	for _, count := range win.counts {
+		total += count
+	}
+	return float64(total) / rateTime.Seconds()
+}
+
+// limit returns how many roots may be in flight.
+func (win *window) limit(now time.Time, slots int) int {
+	if win.began.IsZero() || now.Sub(win.began) < openTime {
+		return slots
+	}
+	least := max(leastWindow, int(leastShare*float64(slots)))
+	fits := win.rate(now) * windowShare * win.target.Seconds()
+	return min(max(least, int(fits)+1), slots)
+}
+
+func (win *window) closed(now time.Time, slots int) bool { return win.flying >= win.limit(now, slots) }
+
+func (win *window) enter(now time.Time) {
+	if win.began.IsZero() {
+		win.began = now
+	}
+	win.flying++
+}
+
+func (win *window) leave() { win.flying-- }
+
+// finished counts a root that was answered.
+func (win *window) finished(now time.Time, target time.Duration) {
+	win.target = target
+	win.roll(now)
+	win.counts[win.at%buckets]++
+}
+
+// pacer bounds the requests to a cold upstream in any second.
+type pacer struct {
+	until time.Time
+	sent  []time.Time // of the last requests, as many as a second allows; the oldest at next
+	next  int
+}
+
+// set takes until when the upstream is cold. What was sent is kept while the rate stays the same.
+func (pac *pacer) set(until time.Time, rate float64) {
+	pac.until = until
+	if allowed := max(1, int(rate)); allowed != len(pac.sent) {
+		pac.sent, pac.next = make([]time.Time, allowed), 0
+	}
+}
+
+// free says whether one more request may be sent.
+func (pac *pacer) free(now time.Time) bool {
+	return !now.Before(pac.until) || now.Sub(pac.sent[pac.next]) >= time.Second
+}
+
+func (pac *pacer) take(now time.Time) {
+	if len(pac.sent) == 0 {
+		return
+	}
+	pac.sent[pac.next] = now
+	pac.next = (pac.next + 1) % len(pac.sent)
+}
--- a/io/protocol/wire/convert.go
+++ b/io/protocol/wire/convert.go
@@ -35,6 +35,8 @@
 		Length: length, Idempotent: cal.Idempotent(), IdempotencyKey: cal.IdempotencyKey(),
 		Budget: int32(cal.Budget()), Depth: int32(cal.Depth()), Fingerprint: fin[:],
 		RemainingNanos: int64(remaining), AdmittedNanos: admittedNanos,
+		CallId: cal.CallID(), Authority: cal.Authority(), Origin: cal.Origin(), TargetNanos: int64(cal.Target()),
+		Version: cal.Version(), Keyed: cal.Keyed(), Rank: int32(cal.Rank()),
 	}
 }
 
@@ -60,6 +62,9 @@
 		Header: ToHeader(head.GetHeaders()), Body: body, Length: head.GetLength(),
 		Idempotent: head.GetIdempotent(), IdempotencyKey: head.GetIdempotencyKey(),
 		Budget: int(head.GetBudget()), Depth: int(head.GetDepth()), Fingerprint: fin,
+		ID: head.GetCallId(), Authority: head.GetAuthority(), Origin: head.GetOrigin(),
+		Target: time.Duration(max(head.GetTargetNanos(), 0)), Version: head.GetVersion(), Keyed: head.GetKeyed(),
+		EntryRank: int(max(head.GetRank(), 0)),
 	}), nil
 }
 
@@ -92,7 +97,10 @@
 
 // FromFeedback returns the message of a feedback.
 func FromFeedback(fee core.Feedback) *Feedback {
-	return &Feedback{Budget: int32(fee.Budget()), Fraction: fee.Fraction(), Load: fee.Load(), Leaving: fee.Leaving()}
+	return &Feedback{
+		Budget: int32(fee.Budget()), Fraction: fee.Fraction(), Load: fee.Load(), Leaving: fee.Leaving(),
+		ExpectedNanos: int64(fee.Expected()), StepNanos: int64(fee.Step()), NestedFailed: fee.NestedFailed(),
+	}
 }
 
 // ToFeedback returns the feedback of a message, with the fraction within [0,1].
@@ -105,7 +113,9 @@
 	if math.IsNaN(load) {
 		load = 0
 	}
-	return core.NewFeedback(int(max(msg.GetBudget(), 0)), fraction, load, msg.GetLeaving())
+	fee := core.NewFeedback(int(max(msg.GetBudget(), 0)), fraction, load, msg.GetLeaving())
+	expected, step := time.Duration(max(msg.GetExpectedNanos(), 0)), time.Duration(max(msg.GetStepNanos(), 0))
+	return fee.WithExpected(expected, step).WithNestedFailed(msg.GetNestedFailed())
 }
 
 // FromAnswer returns the head of an answer.
--- /dev/null
+++ b/io/side/admin.go
@@ -0,0 +1,89 @@
+package side
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"amaranthline/core/coordination/spread"
+
+	"github.com/justinas/alice"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Status is what a node believes, for operators.
+type Status struct {
+	Host     string        `json:"host"`
+	Domain   string        `json:"domain"`
+	Service  string        `json:"service"`
+	Ready    bool          `json:"ready"`
+	Leaving  bool          `json:"leaving"`
+	Config   spread.Status `json:"configuration"`
+	Upstream UpstreamView  `json:"upstream"`
+	Peers    []PeerView    `json:"peers"`
+}
+
+// UpstreamView is what the node gives the own upstream.
+type UpstreamView struct {
+	Slots   int `json:"slots"`
+	Busy    int `json:"busy"`
+	Waiting int `json:"waiting"`
+}
+
+// PeerView is what the node sees of a peer.
+type PeerView struct {
+	Host      string  `json:"host"`
+	Reachable bool    `json:"reachable"`
+	Leaving   bool    `json:"leaving"`
+	Load      float64 `json:"load"`
+	RTTMicros int64   `json:"rtt_microseconds"`
+}
+
+func (nod *Node) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(nod.met.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /readyz", nod.serveReady)
+	mux.HandleFunc("GET /status", nod.serveStatus)
+	return alice.New(noStore).Then(mux)
+}
+
+func noStore(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		wri.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(wri, req)
+	})
+}
+
+func (nod *Node) isReady() bool { return nod.ready.Load() && !nod.leaving.Load() }
+
+func (nod *Node) serveReady(wri http.ResponseWriter, _ *http.Request) {
+	if !nod.isReady() {
+		http.Error(wri, "not ready: no configuration in force, or draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = wri.Write([]byte("ready\n"))
+}
+
+func (nod *Node) serveStatus(wri http.ResponseWriter, _ *http.Request) {
+	wri.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(wri)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(nod.Status())
+}
+
+// Status returns what the node believes.
+func (nod *Node) Status() Status {
+	slots, busy, waiting := nod.relay.Places()
+	sta := Status{
+		Host: nod.set.Host, Domain: nod.set.Domain, Service: nod.set.Service, Ready: nod.isReady(),
+		Leaving: nod.leaving.Load(), Config: nod.spread.Status(),
+		Upstream: UpstreamView{Slots: slots, Busy: busy, Waiting: waiting},
+	}
+	for _, host := range nod.mesh.Hosts() {
+		if pst := nod.mesh.State(host); pst.Known() {
+			sta.Peers = append(sta.Peers, PeerView{
+				Host: host, Reachable: pst.Up(), Leaving: pst.Leaving(), Load: pst.Load(), RTTMicros: pst.RTT().Microseconds(),
+			})
+		}
+	}
+	return sta
+}
--- /dev/null
+++ b/io/side/node.go
@@ -0,0 +1,274 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/core/coordination/relay"
+	"amaranthline/core/coordination/spread"
+	"amaranthline/core/state/decl"
+	"amaranthline/io/transport/back"
+	"amaranthline/io/transport/front"
+	"amaranthline/io/transport/mesh"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	peerInterval = 100 * time.Millisecond // how often the relay takes over what connections show
+	bootSpread   = 200 * time.Millisecond // of a restarted node, so that it serves again at once
+	maxBackoff   = time.Second            // between calls to a configuration service that fails
+	// keepAll is the size of a fleet up to which a node keeps connections to all hosts. In a larger one it keeps those
+	// to the hosts of its own failure domain and a few others of each service; further ones are opened when needed.
+	keepAll    = 32
+	keepRemote = 3
+	// upstreamIdle is below the 10 s after which the upstreams of today's deployments close idle connections.
+	upstreamIdle  = 8 * time.Second
+	headerTimeout = 5 * time.Second
+)
+
+// Node is one process beside an upstream.
+type Node struct {
+	set     Settings
+	log     *logrus.Logger
+	notes   *Notes
+	met     *metrics
+	mesh    *mesh.Mesh
+	spread  *spread.Spreader
+	relay   *relay.Relay
+	back    *back.Client
+	front   *front.Front
+	current atomic.Pointer[decl.Snapshot] // whose addresses the mesh has
+	ready   atomic.Bool
+	leaving atomic.Bool
+}
+
+// New checks the settings and assembles a node.
+func New(set Settings, ada Adapter, notes *Notes, log *logrus.Logger) (*Node, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	nod := &Node{set: set, log: log, notes: notes, met: newMetrics()}
+	nod.mesh = mesh.New(mesh.Settings{
+		Host: set.Host, Incarnation: uint64(time.Now().UnixNano()), Listen: set.Peer, Insecure: set.InsecurePeers,
+		Handler: nod, Control: nod, Count: nod.met.countPeers,
+	})
+	nod.back = back.New(back.Settings{
+		Base: set.Upstream, Connections: set.Connections, OnCrash: func() { nod.relay.Crashed() },
+		IdleTimeout: upstreamIdle, Dialect: ada.Upstream,
+	})
+	nod.spread = spread.New(spread.Settings{
+		Self: set.Host, Domain: set.Domain, Peers: nod.mesh, Source: ada.Source, Random: newRand(),
+		OnChange: nod.onSnapshot, OnRefused: nod.onRefused, BootSpread: bootSpread, MaxBackoff: maxBackoff,
+	})
+	nod.relay = relay.New(relay.Settings{
+		Host: set.Host, Domain: set.Domain, Service: set.Service, Peers: nod.mesh, Upstream: nod.back,
+		Snapshot: nod.spread.Snapshot, Observer: nod.met, Notes: notes, Random: newRand(), RetryShare: set.RetryShare,
+	})
+	nod.front = front.New(front.Settings{Entry: nod.relay, Observer: nod.met, Dialect: ada.Callers})
+	nod.met.watch(nod.relay)
+	return nod, nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) } //nolint:gosec // no secret
+
+// Serve serves a call of a peer.
+func (nod *Node) Serve(ctx context.Context, call *core.Call) (*core.Answer, error) {
+	return nod.relay.Serve(ctx, call)
+}
+
+// Self returns load and drain state for probes.
+func (nod *Node) Self() (load float64, leaving bool) { return nod.relay.Load(), nod.relay.Leaving() }
+
+// Control hands a control message to the part that handles its kind.
+func (nod *Node) Control(ctx context.Context, host string, msg proto.Message) (proto.Message, error) {
+	for _, handle := range []func(context.Context, string, proto.Message) (proto.Message, bool, error){
+		nod.spread.Control, nod.relay.Control,
+	} {
+		reply, handled, err := handle(ctx, host, msg)
+		if handled || err != nil {
+			return reply, err
+		}
+	}
+	return nil, eris.Errorf("message %T from host %s has no handler; run the same version on all hosts", msg, host)
+}
+
+// onSnapshot puts a new configuration into force.
+func (nod *Node) onSnapshot(sna *decl.Snapshot) {
+	nod.relay.Update(sna)
+	nod.connect()
+	nod.notes.Note("configuration in force", "", map[string]any{
+		"declarations": sna.Version(), "hosts": sna.Hosts().Version(), "listed": len(sna.Hosts().All()),
+	})
+	nod.ready.Store(true)
+}
+
+// onRefused logs a document that cannot be used.
+func (nod *Node) onRefused(err error) {
+	nod.notes.Note("document refused", "", map[string]any{"error": err.Error()})
+}
+
+// connect opens the connections that are needed.
+func (nod *Node) connect() {
+	sna := nod.spread.Snapshot()
+	if sna == nil {
+		return
+	}
+	addrs := map[string]string{}
+	for _, hos := range sna.Hosts().All() {
+		if hos.ID() != nod.set.Host {
+			addrs[hos.ID()] = hos.Peer()
+		}
+	}
+	nod.mesh.SetPeers(addrs, nod.kept(sna))
+	nod.current.Store(sna)
+}
+
+func (nod *Node) kept(sna *decl.Snapshot) []string {
+	all := sna.Hosts().All()
+	keep := map[string]bool{}
+	for _, host := range nod.spread.Neighbours() {
+		keep[host] = true
+	}
+	remote := map[string][]string{}
+	for _, hos := range all {
+		if len(all) <= keepAll || hos.Domain() == nod.set.Domain {
+			keep[hos.ID()] = true
+		} else {
+			remote[hos.Service()] = append(remote[hos.Service()], hos.ID())
+		}
+	}
+	for service, ids := range remote {
+		ranked := decl.Ranked(nod.set.Host+"/"+service, ids)
+		for _, id := range ranked[:min(keepRemote, len(ranked))] {
+			keep[id] = true
+		}
+	}
+	delete(keep, nod.set.Host)
+	out := make([]string, 0, len(keep))
+	for id := range keep {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Run serves until the context ends and then shuts down gracefully.
+func (nod *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers, err := nod.listen()
+	if err != nil {
+		return err
+	}
+	if nod.set.InsecurePeers {
+		nod.log.Warn("connections between nodes are neither encrypted nor authenticated (--insecure-peers)")
+	}
+	grp, work := errgroup.WithContext(work)
+	grp.Go(func() error { return nod.mesh.Run(work) })
+	grp.Go(func() error { return nod.spread.Run(work) })
+	grp.Go(func() error { return nod.relay.Run(work) })
+	grp.Go(func() error { nod.notes.Run(work); return nil })
+	grp.Go(func() error { nod.watchPeers(work); return nil })
+	for _, ser := range servers {
+		grp.Go(ser.serve)
+	}
+	nod.log.WithFields(logrus.Fields{"host": nod.set.Host, "domain": nod.set.Domain, "service": nod.set.Service}).Info("node started")
+	select {
+	case <-ctx.Done():
+		nod.drain(servers[0])
+	case <-work.Done(): // a part failed
+	}
+	cancel()
+	for _, ser := range servers {
+		_ = ser.Close()
+	}
+	if err := grp.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	nod.log.Info("node stopped")
+	return nil
+}
+
+// server is one HTTP port.
+type server struct {
+	*http.Server
+	lis net.Listener
+}
+
+func (ser *server) serve() error {
+	if err := ser.Serve(ser.lis); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (nod *Node) listen() ([]*server, error) {
+	ports := []struct {
+		flag, addr string
+		server     *http.Server
+	}{
+		{"ingress", nod.set.Ingress, nod.front.Server()},
+		{"ready", nod.set.Ready, &http.Server{Handler: nod.admin(), ReadHeaderTimeout: headerTimeout}},
+		{"admin", nod.set.Admin, &http.Server{Handler: nod.admin(), ReadHeaderTimeout: headerTimeout}},
+	}
+	var out []*server
+	for _, por := range ports {
+		lis, err := net.Listen("tcp", por.addr)
+		if err != nil {
+			return nil, fault(por.flag, "cannot listen on "+por.addr+": "+err.Error(), "give a free address of this host")
+		}
+		out = append(out, &server{Server: por.server, lis: lis})
+	}
+	return out, nil
+}
+
+// watchPeers takes over what the connections show, and logs peers that are lost and regained.
+func (nod *Node) watchPeers(ctx context.Context) {
+	tick := time.NewTicker(peerInterval)
+	defer tick.Stop()
+	up := map[string]bool{}
+	for {
+		select {
+		case <-tick.C:
+			for _, host := range nod.mesh.Hosts() {
+				pst := nod.mesh.State(host)
+				nod.relay.Observe(host, pst)
+				if was, seen := up[host]; pst.Known() && (!seen || was != pst.Up()) {
+					up[host] = pst.Up()
+					nod.notes.Note("peer connection changed", "", map[string]any{"host": host, "up": pst.Up(), "leaving": pst.Leaving()})
+				}
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drain stops without cutting a request: peers and callers learn first, then new calls are refused, then the port for
+// callers closes once what is in progress has ended. Calls that the own upstream makes need that port until then.
+func (nod *Node) drain(ingress *server) {
+	nod.log.WithField("pause", nod.set.DrainPause).Info("graceful shutdown started")
+	nod.leaving.Store(true)
+	nod.relay.Leave()
+	nod.front.Drain()
+	time.Sleep(nod.set.DrainPause)
+	nod.relay.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), nod.set.DrainTimeout)
+	defer cancel()
+	if err := errors.Join(nod.mesh.Drain(ctx), ingress.Shutdown(ctx)); err != nil {
+		nod.log.WithError(err).Warn("graceful shutdown cut calls in progress; raise --drain-timeout")
+		return
+	}
+	nod.log.Info("graceful shutdown finished")
+}
--- /dev/null
+++ b/io/side/notes.go
@@ -0,0 +1,146 @@
+package side
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// Lines a second and at once of each event. A request that is answered leaves fewer lines than one that fails.
+	noteRate      = 20.0
+	noteBurst     = 60.0
+	answeredEvent = "request answered"
+	answeredRate  = 2.0
+	summaryPause  = 5 * time.Second
+	outputLines   = 2048 // lines that wait to be written; more are counted and dropped
+)
+
+// Notes writes one structured line for each decision, at a bounded rate for each event. It never blocks.
+type Notes struct {
+	log   *logrus.Logger
+	start time.Time
+
+	mut    sync.Mutex
+	events map[string]*allowance
+}
+
+type allowance struct {
+	tokens  float64
+	filled  time.Duration // since the start, so that steps of the time of day do not count
+	omitted int
+}
+
+// NewNotes returns notes that write to a logger.
+func NewNotes(log *logrus.Logger) *Notes {
+	return &Notes{log: log, start: time.Now(), events: map[string]*allowance{}}
+}
+
+// Note writes one line unless the event has used up its rate.
+func (not *Notes) Note(event, call string, fields map[string]any) {
+	if !not.allow(event) {
+		return
+	}
+	ent := not.log.WithFields(fields)
+	if call != "" {
+		ent = ent.WithField("call", call)
+	}
+	ent.Info(event)
+}
+
+func (not *Notes) allow(event string) bool {
+	not.mut.Lock()
+	defer not.mut.Unlock()
+	alw := not.events[event]
+	if alw == nil {
+		alw = &allowance{tokens: noteBurst}
+		not.events[event] = alw
+	}
+	rate := noteRate
+	if event == answeredEvent {
+		rate = answeredRate
+	}
+	now := time.Since(not.start)
+	alw.tokens = min(alw.tokens+rate*(now-alw.filled).Seconds(), noteBurst)
+	alw.filled = now
+	if alw.tokens < 1 {
+		alw.omitted++
+		return false
+	}
+	alw.tokens--
+	return true
+}
+
+// Run writes from time to time how many lines were left out.
+func (not *Notes) Run(ctx context.Context) {
+	tick := time.NewTicker(summaryPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			not.summarize()
+		case <-ctx.Done():
+			not.summarize()
+			return
+		}
+	}
+}
+
+func (not *Notes) summarize() {
+	not.mut.Lock()
+	fields := logrus.Fields{}
+	for event, alw := range not.events {
+		if alw.omitted > 0 {
+			fields[event], alw.omitted = alw.omitted, 0
+		}
+	}
+	not.mut.Unlock()
+	if len(fields) > 0 {
+		not.log.WithFields(fields).Info("log lines left out")
+	}
+}
+
+// Output passes lines on to a slow writer without making the sender wait.
+type Output struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+	dst     io.Writer
+}
+
+// NewOutput returns an output and starts its work; Close ends it.
+func NewOutput(dst io.Writer) *Output {
+	out := &Output{lines: make(chan []byte, outputLines), done: make(chan struct{}), dst: dst}
+	go out.run()
+	return out
+}
+
+func (out *Output) run() {
+	defer close(out.done)
+	for line := range out.lines {
+		_, _ = out.dst.Write(line) // there is no other place to report that standard output fails
+	}
+}
+
+// Write takes one line, or drops it when too many wait.
+func (out *Output) Write(line []byte) (int, error) {
+	select {
+	case out.lines <- append([]byte(nil), line...):
+	default:
+		out.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (out *Output) Dropped() uint64 { return out.dropped.Load() }
+
+// Close writes the lines that wait. No line may be written after it.
+func (out *Output) Close() {
+	close(out.lines)
+	<-out.done
+}
--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,16 +17,8 @@
 	"amaranthline/io/protocol/wire"
 )
 
-// Headers between a node and its upstream.
 const (
-	CallHeader    = "Amaranthline-Call"
-	NotRunHeader  = "Amaranthline-Not-Run"
-	TimeoutHeader = "Request-Timeout"
-	ownPrefix     = "Amaranthline-"
-)
-
-const (
-	idleTimeout     = 4 * time.Second // below the usual idle timeouts of servers, which start at 5 s
+	defaultIdle     = 4 * time.Second // below the usual idle timeouts of servers, which start at 5 s
 	defaultDial     = 500 * time.Millisecond
 	maxHeaderBytes  = 32 << 10
 	maxReplayed     = 64 << 10 // bytes of a body that a retry may send again
@@ -40,17 +31,22 @@
 	Connections int           // bound on open connections
 	DialTimeout time.Duration // 500 ms when zero
 	OnCrash     func()        // called once when the upstream seems to have crashed, until it answers again; may be nil
+	IdleTimeout time.Duration // after which an unused connection is closed; 4 s when zero
+	// Dialect sets and judges headers; nil means amaranthline's own.
+	Dialect core.UpstreamDialect
 }
 
 // Client sends calls to the upstream; it implements core.Upstream.
 type Client struct {
-	base   *url.URL
-	pool   *http.Transport
-	flight atomic.Int64
-	crash  detector
+	base     *url.URL
+	pool     *http.Transport
+	dialect  core.UpstreamDialect
+	instance atomic.Pointer[string]
+	flight   atomic.Int64
+	crash    detector
 }
 
-var _ core.Upstream = (*Client)(nil)
+var _ core.Monitored = (*Client)(nil)
 
 // BaseError says that the address of the upstream cannot be used.
 type BaseError struct{ base string }
@@ -65,7 +61,14 @@
 	if set.DialTimeout == 0 {
 		set.DialTimeout = defaultDial
 	}
-	cli := &Client{crash: detector{report: set.OnCrash}}
+	if set.IdleTimeout == 0 {
+		set.IdleTimeout = defaultIdle
+	}
+	if set.Dialect == nil {
+		set.Dialect = own{}
+	}
+	cli := &Client{crash: detector{report: set.OnCrash}, dialect: set.Dialect}
+	cli.Expect("")
 	base, err := url.Parse(set.Base)
 	if err == nil && base.Scheme == "http" && base.Host != "" {
 		cli.base = base
@@ -83,13 +86,31 @@
 		},
 		MaxConnsPerHost:        set.Connections,
 		MaxIdleConnsPerHost:    set.Connections,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        set.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
 	return cli
 }
 
+// Expect names the start of the upstream to which further calls are sent; "" means any.
+func (cli *Client) Expect(instance string) { cli.instance.Store(&instance) }
+
+// Health asks the upstream at a path, over a connection of the pool.
+func (cli *Client) Health(ctx context.Context, path string) (core.Health, error) {
+	target := *cli.base
+	target.Path = path
+	req := (&http.Request{Method: http.MethodGet, URL: &target, Host: target.Host, Header: http.Header{}}).WithContext(ctx)
+	rsp, err := cli.pool.RoundTrip(req)
+	if err != nil {
+		return core.Health{}, err
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainedBytes))
+	cli.crash.answered()
+	return cli.dialect.Health(rsp.StatusCode, rsp.Header), nil
+}
+
 // Close closes the connections that are not in use.
 func (cli *Client) Close() { cli.pool.CloseIdleConnections() }
 
@@ -159,21 +180,18 @@
 		return nil, newError(KindTimeout, core.ReasonDeadline, core.OutcomeNotRun, "no time is left for the upstream", nil)
 	}
 	hdr := wire.EndToEnd(att.call.Header())
-	for name := range hdr {
-		if strings.HasPrefix(name, ownPrefix) {
-			delete(hdr, name)
-		}
-	}
-	hdr.Del("Authorization")
 	hdr.Del("Expect")
-	hdr.Set(CallHeader, token)
-	hdr.Set(TimeoutHeader, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	att.cli.dialect.Send(hdr, att.call, token, *att.cli.instance.Load(), remaining)
 	if _, ok := hdr["User-Agent"]; !ok {
 		hdr["User-Agent"] = nil // keeps net/http from naming itself
 	}
 	hideIdempotencyKey(hdr)
+	host := target.Host
+	if att.call.Authority() != "" {
+		host = att.call.Authority()
+	}
 	req := &http.Request{
-		Method: att.call.Method(), URL: target, Host: target.Host, Header: hdr,
+		Method: att.call.Method(), URL: target, Host: host, Header: hdr,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	att.setBody(req)
@@ -258,33 +276,30 @@
 
 func (att *attempt) answer(rsp *http.Response) (*core.Answer, error) {
 	att.cli.crash.answered()
-	if rsp.StatusCode == http.StatusServiceUnavailable && rsp.Header.Get(NotRunHeader) == "true" {
-		return nil, att.shed(rsp)
+	if ref := att.cli.dialect.Judge(att.call, rsp.StatusCode, rsp.Header); ref != nil {
+		return nil, att.refused(rsp, ref)
 	}
 	hdr := wire.EndToEnd(rsp.Header)
-	for name := range hdr {
-		if strings.HasPrefix(name, ownPrefix) {
-			delete(hdr, name)
-		}
-	}
+	att.cli.dialect.Answer(hdr)
 	bod := &answerBody{att: att, src: rsp.Body}
 	fee := core.NewFeedback(att.call.Budget(), 1, 0, false)
 	return core.NewAnswer(rsp.StatusCode, hdr, bod, func() core.Feedback { return fee }), nil
 }
 
-// shed returns the upstream's own refusal and keeps the connection when the rest of the answer is short.
-func (att *attempt) shed(rsp *http.Response) error {
+// refused returns the refusal that an answer stands for. The connection is kept when the answer belongs to the call and
+// its rest is short.
+func (att *attempt) refused(rsp *http.Response, ref *core.Refusal) error {
 	defer att.finish()
-	if rsp.ContentLength >= 0 && rsp.ContentLength <= maxDrainedBytes {
-		_, _ = io.Copy(io.Discard, rsp.Body)
+	knd := KindFailed
+	if ref.Outcome() == core.OutcomeNotRun {
+		knd = KindShed
+		if rsp.ContentLength >= 0 && rsp.ContentLength <= maxDrainedBytes {
+			_, _ = io.Copy(io.Discard, rsp.Body)
+		}
 	}
 	_ = rsp.Body.Close()
 	att.body.settle()
-	fail := newError(KindShed, core.ReasonOverload, core.OutcomeNotRun, "the upstream refused the request before it started work", nil)
-	if sec, err := strconv.Atoi(rsp.Header.Get("Retry-After")); err == nil && sec > 0 {
-		fail.Refusal = fail.After(time.Duration(sec) * time.Second)
-	}
-	return fail
+	return &Error{Refusal: ref, kind: knd}
 }
 
 // countedConn counts the bytes that the operating system took. A write counts in full before it starts and is
--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -6,13 +6,10 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"amaranthline/core"
-	"amaranthline/io/protocol/wire"
 
 	"github.com/justinas/alice"
 )
@@ -42,6 +39,8 @@
 	Entry    core.Entry
 	Observer core.Observer
 	Nested   bool // serves the own upstream instead of callers
+	// Dialect reads requests and writes refusals; nil means amaranthline's own headers.
+	Dialect core.CallerDialect
 }
 
 // Front is the HTTP handler for one port.
@@ -49,12 +48,17 @@
 	entry    core.Entry
 	obs      core.Observer
 	nested   bool
+	dialect  core.CallerDialect
 	draining atomic.Bool
 }
 
 // New returns a front.
 func New(set Settings) *Front {
-	return &Front{entry: set.Entry, obs: set.Observer, nested: set.Nested}
+	fro := &Front{entry: set.Entry, obs: set.Observer, nested: set.Nested, dialect: set.Dialect}
+	if fro.dialect == nil {
+		fro.dialect = own{nested: set.Nested}
+	}
+	return fro
 }
 
 // Handler returns the handler with its middleware.
@@ -114,47 +118,25 @@
 	}
 	ans, err := serve(hrq.Context(), req)
 	if err != nil {
-		writeRefusal(wri, hrq, core.AsRefusal(err))
+		fro.writeRefusal(wri, hrq, core.AsRefusal(err))
 		return
 	}
-	writeAnswer(wri, ans)
+	fro.writeAnswer(wri, ans)
 }
 
 // refuse answers a request that never reached the request path, and counts it.
 func (fro *Front) refuse(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
 	fro.obs.Refused(ref.Reason(), "", "")
-	writeRefusal(wri, hrq, ref)
-}
-
-func refusal(reason core.Reason, format string, args ...any) *core.Refusal {
-	return core.NewRefusal(reason, core.OutcomeNotRun, fmt.Sprintf(format, args...))
+	fro.writeRefusal(wri, hrq, ref)
 }
 
-// read checks an HTTP request and takes the key out of it.
+// read checks an HTTP request.
 func (fro *Front) read(wri http.ResponseWriter, hrq *http.Request) (*core.Request, *core.Refusal) {
-	service, path, ref := splitPath(hrq)
+	spec, ref := fro.dialect.Read(hrq)
 	if ref != nil {
 		return nil, ref
 	}
-	spec := core.RequestSpec{Service: service, Method: hrq.Method, Path: path, Query: hrq.URL.RawQuery, Length: hrq.ContentLength}
-	spec.Header = wire.EndToEnd(hrq.Header)
-	if ref := fro.readInternal(&spec); ref != nil {
-		return nil, ref
-	}
-	if !fro.nested {
-		spec.Key = bearer(hrq.Header.Get("Authorization"))
-		spec.Header.Del("Authorization")
-		if ref := checkLeak(&spec); ref != nil {
-			return nil, ref
-		}
-	}
-	if ref := readTimeout(&spec); ref != nil {
-		return nil, ref
-	}
-	spec.IdempotencyKey = spec.Header.Get(HeaderIdempotency)
-	if len(spec.IdempotencyKey) > maxIdempotency {
-		return nil, refusal(core.ReasonBadRequest, "%s has more than %d bytes", HeaderIdempotency, maxIdempotency)
-	}
+	spec.Method, spec.Length = hrq.Method, hrq.ContentLength
 	if hrq.ContentLength > maxBodyBytes {
 		return nil, refusal(core.ReasonBodyTooLarge, "the body has %d bytes", hrq.ContentLength)
 	}
@@ -164,77 +146,6 @@
 	return core.NewRequest(spec), nil
 }
 
-// splitPath takes the service from the first path segment. Dot segments are refused, because the
-// upstream could resolve them to a path of another route than the one that was checked.
-func splitPath(hrq *http.Request) (service, path string, ref *core.Refusal) {
-	full := hrq.URL.EscapedPath()
-	service, rest, found := strings.Cut(strings.TrimPrefix(full, "/"), "/")
-	if !strings.HasPrefix(full, "/") || service == "" || !found {
-		return "", "", refusal(core.ReasonUnknownService, "the path %q names no service", full)
-	}
-	for _, seg := range strings.Split(rest, "/") {
-		plain := strings.ReplaceAll(strings.ToLower(seg), "%2e", ".")
-		if plain == "." || plain == ".." || strings.Contains(plain, "%2f") || strings.Contains(plain, "%5c") {
-			return "", "", refusal(core.ReasonBadRequest, "the path has the ambiguous segment %q", seg)
-		}
-	}
-	return service, "/" + rest, nil
-}
-
-// readInternal refuses headers of the system's own name space, but for the token of a nested call.
-func (fro *Front) readInternal(spec *core.RequestSpec) *core.Refusal {
-	if fro.nested {
-		spec.Token = spec.Header.Get(HeaderCall)
-		spec.Header.Del(HeaderCall)
-	}
-	for name := range spec.Header {
-		if strings.HasPrefix(name, headerPrefix) {
-			return refusal(core.ReasonSpoofedHeader, "the header %s is reserved", name)
-		}
-	}
-	return nil
-}
-
-func bearer(value string) string {
-	scheme, key, found := strings.Cut(value, " ")
-	if !found || !strings.EqualFold(scheme, "Bearer") {
-		return ""
-	}
-	return strings.TrimSpace(key)
-}
-
-// checkLeak refuses a request that carries its key in a place that the upstream would see.
-func checkLeak(spec *core.RequestSpec) *core.Refusal {
-	if spec.Key == "" {
-		return nil
-	}
-	if strings.Contains(spec.Path, spec.Key) || strings.Contains(spec.Query, spec.Key) {
-		return refusal(core.ReasonKeyLeak, "the URL contains the key")
-	}
-	for name, values := range spec.Header {
-		for _, val := range values {
-			if strings.Contains(val, spec.Key) {
-				return refusal(core.ReasonKeyLeak, "the header %s contains the key", name)
-			}
-		}
-	}
-	return nil
-}
-
-func readTimeout(spec *core.RequestSpec) *core.Refusal {
-	value := spec.Header.Get(HeaderTimeout)
-	spec.Header.Del(HeaderTimeout)
-	if value == "" {
-		return nil
-	}
-	milli, err := strconv.Atoi(value)
-	if err != nil || milli <= 0 || milli > maxTimeoutMilli {
-		return refusal(core.ReasonBadRequest, "%s is %q; give milliseconds from 1 to %d", HeaderTimeout, value, maxTimeoutMilli)
-	}
-	spec.Timeout = time.Duration(milli) * time.Millisecond
-	return nil
-}
-
 // body bounds a request body in size and in the pause between two reads.
 type body struct {
 	io.Reader
@@ -266,32 +177,31 @@
 	return got, err
 }
 
-func writeRefusal(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
+func (fro *Front) writeRefusal(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
 	if hrq.ContentLength != 0 && ref.Reason() != core.ReasonSlowSender {
 		// The server reads a part of an unread body before it answers, and a sender may stall in it.
 		_ = http.NewResponseController(wri).SetReadDeadline(time.Now().Add(senderPause))
 	}
 	head := wri.Header()
-	head.Set(HeaderOutcome, ref.Outcome().String())
-	head.Set(HeaderReason, string(ref.Reason()))
 	head.Set("Content-Type", "text/plain; charset=utf-8")
 	head.Set("X-Content-Type-Options", "nosniff")
-	if pause := ref.RetryAfter(); pause > 0 {
-		head.Set("Retry-After", strconv.Itoa(int((pause+time.Second-1)/time.Second)))
-	}
+	fro.dialect.Refuse(head, ref)
 	wri.WriteHeader(ref.Status())
 	_, _ = io.WriteString(wri, ref.Error()+"\n")
 }
 
 // writeAnswer streams an answer. A body that fails after its start cuts the connection, so that
 // the caller never takes a part for the whole.
-func writeAnswer(wri http.ResponseWriter, ans *core.Answer) {
+func (fro *Front) writeAnswer(wri http.ResponseWriter, ans *core.Answer) {
 	defer ans.Body().Close()
 	head := wri.Header()
 	for name, values := range ans.Header() {
 		head[name] = values
 	}
-	head.Set(HeaderOutcome, core.OutcomeRan.String())
+	if _, ok := head["Content-Type"]; !ok {
+		head["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	fro.dialect.Answer(head)
 	wri.WriteHeader(ans.Status())
 	if _, err := io.Copy(wri, ans.Body()); err != nil {
 		panic(http.ErrAbortHandler)
--- a/io/transport/mesh/mesh.go
+++ b/io/transport/mesh/mesh.go
@@ -43,6 +43,7 @@
 	Handler     core.Handler
 	Control     core.Control
 	Count       func(Event)   // called from many goroutines; may be nil
+	Insecure    bool          // allows addresses outside loopback without TLS
 	IdleClose   time.Duration // after which an unused connection that is not kept is closed; 60 s when zero
 }
 
@@ -79,7 +80,7 @@
 
 // Run listens on the peer port and keeps the connections until ctx ends; it returns when all work has ended.
 func (mes *Mesh) Run(ctx context.Context) error {
-	if mes.set.Server == nil && !loopback(mes.set.Listen) {
+	if mes.set.Server == nil && !mes.set.Insecure && !loopback(mes.set.Listen) {
 		return &InsecureError{address: mes.set.Listen}
 	}
 	lis, err := (&net.ListenConfig{}).Listen(ctx, "tcp", mes.set.Listen)
--- a/io/transport/mesh/peer.go
+++ b/io/transport/mesh/peer.go
@@ -196,7 +196,7 @@
 func (pee *peer) dial(ctx context.Context) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if pee.mes.set.Client == nil && !loopback(pee.addr) {
+	if pee.mes.set.Client == nil && !pee.mes.set.Insecure && !loopback(pee.addr) {
 		return nil, &InsecureError{address: pee.addr}
 	}
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", pee.addr)
--- a/io/transport/mesh/serve.go
+++ b/io/transport/mesh/serve.go
@@ -283,7 +283,7 @@
 	switch frm := msg.(type) {
 	case *wire.CallHead:
 		inb.call(ctx, &serving{inb: inb, str: str, rea: rea, wri: wri}, frm)
-	case *wire.Offer, *wire.Pull, *wire.Document, *wire.LoanOffer, *wire.LoanRequest, *wire.Suspect, *wire.Contact, *wire.ServiceLists:
+	case *wire.Offer, *wire.Pull, *wire.Document, *wire.LoanOffer, *wire.LoanRequest, *wire.Suspect, *wire.Contact, *wire.ServiceLists, *wire.UsageReport:
 		inb.control(ctx, wri, msg)
 	default:
 		inb.malformed()
