--- a/core/coordination/relay/own.go
+++ b/core/coordination/relay/own.go
@@ -28,9 +28,9 @@
 	listed   bool
 	leaving  bool
 	out      bool
-	instance string        // that the list named last
-	cold     time.Duration // that the list showed last
-	health   string        // path
+	instance string // that the list named last
+	coldAt   uint64 // newest observation of the list that the upstream is cold
+	health   string // path
 	coldRate float64
 	coldTime time.Duration
 	asking   bool      // a health check must succeed before calls are sent
@@ -65,14 +65,15 @@
 		ow.lane.setSlots(hos.Slots())
 	}
 	if hos.Instance() != ow.instance {
-		ow.instance, ow.cold = hos.Instance(), 0
+		ow.instance = hos.Instance()
 		ow.set.Upstream.Expect(ow.instance)
 	}
-	// The list shows how long the upstream stayed cold when that was news; shown again, it is old.
-	if hos.Cold() != ow.cold && hos.Cold() > 0 && ow.coldRate > 0 {
+	// Lists of different readers may show an old observation again.
+	if hos.ColdAt() > ow.coldAt && ow.coldRate > 0 {
+		ow.coldAt = hos.ColdAt()
 		ow.lane.setCold(now.Add(hos.Cold()), ow.coldRate)
+		ow.set.Notes.Note("upstream cold", "", map[string]any{"instance": ow.instance, "for_ms": hos.Cold().Milliseconds(), "version": ow.coldAt})
 	}
-	ow.cold = hos.Cold()
 }
 
 // ask requires a health check. The caller holds the lock.
@@ -154,7 +155,7 @@
 	if hea.Instance() != "" {
 		ow.set.Upstream.Expect(hea.Instance())
 	}
-	if cold > 0 && ow.coldRate > 0 {
+	if ow.coldRate > 0 {
 		ow.lane.setCold(now.Add(cold), ow.coldRate)
 	}
 	ow.asking, ow.down = false, false
--- a/core/coordination/relay/rates.go
+++ b/core/coordination/relay/rates.go
@@ -56,7 +56,7 @@
 			host = decl.Ranked("rate/"+usa.Team(), hosts)[0]
 		}
 		if host == rel.set.Host {
-			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, tea.Rate()))
+			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, tea.Rate()*rel.reach(sna)))
 			continue
 		}
 		if messages[host] == nil {
@@ -82,6 +82,18 @@
 	return out
 }
 
+// reach returns the share of the hosts that can be reached. The sides of a partition divide a rate by it, so that they
+// do not each admit the whole.
+func (rel *Relay) reach(sna *decl.Snapshot) float64 {
+	all := 0
+	for _, hos := range sna.Hosts().All() {
+		if !hos.Leaving() {
+			all++
+		}
+	}
+	return float64(len(rel.dividers(sna))) / float64(max(all, 1))
+}
+
 func (rel *Relay) exchange(ctx context.Context, host string, msg *wire.UsageReport) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -111,12 +123,13 @@
 		return reply, true, nil
 	}
 	now := rel.clock.Now()
+	reach := rel.reach(sna)
 	for _, usa := range req.GetTeams() {
 		tea := sna.Team(usa.GetTeam())
 		if tea == nil || tea.Unlimited() {
 			continue
 		}
-		part := rel.divider.Part(now, host, meter.NewUsage(usa.GetTeam(), usa.GetDemand()), tea.Rate())
+		part := rel.divider.Part(now, host, meter.NewUsage(usa.GetTeam(), usa.GetDemand()), reach*tea.Rate())
 		reply.Parts = append(reply.Parts, &wire.TeamPart{Team: usa.GetTeam(), Rate: part})
 	}
 	return reply, true, nil
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -16,6 +16,9 @@
 	// maxHosts is how many hosts are asked for one request. A host that refuses before it has sent the call costs a
 	// round trip between nodes and nothing at the upstream.
 	maxHosts = 3
+	// lowerRetries is the part of the retries for a service that ranks below the first may use. While an upstream sheds
+	// most calls, what is left lets the important roots finish instead of none.
+	lowerRetries = 0.5
 	// leastRetry is the time that must be left for another attempt.
 	leastRetry = 30 * time.Millisecond
 	// A refused caller comes back within this part of its class's target, so that its answer can still be in time; the
@@ -216,7 +219,11 @@
 	if out.arrived == 0 {
 		return true
 	}
-	if out.arrived >= out.ent.Attempts() || !ratio.Allow(now) {
+	part := 1.0
+	if out.root.Rank() > 0 {
+		part = lowerRetries
+	}
+	if out.arrived >= out.ent.Attempts() || !ratio.AllowPart(now, part) {
 		return false
 	}
 	rel.set.Observer.Retried(out.root.Class())
--- a/core/coordination/spread/spread.go
+++ b/core/coordination/spread/spread.go
@@ -17,10 +17,12 @@
 
 const (
 	gossipInterval = time.Second
-	offerTimeout   = time.Second
-	pushTimeout    = 3 * time.Second
-	pullTimeout    = 1500 * time.Millisecond // doubles with each round over the offering peers
-	maxPullTimeout = 6 * time.Second
+	// A node that is not on the host list is nobody's neighbour and gets no offers, so it asks more often.
+	unlistedInterval = 200 * time.Millisecond
+	offerTimeout     = time.Second
+	pushTimeout      = 3 * time.Second
+	pullTimeout      = 1500 * time.Millisecond // doubles with each round over the offering peers
+	maxPullTimeout   = 6 * time.Second
 	// pullHedge is the wait before a second peer is asked for the same document: a peer behind a silent
 	// connection would otherwise cost the whole timeout.
 	pullHedge   = 250 * time.Millisecond
@@ -129,9 +131,9 @@
 	if !sleep(ctx, spr.random(gossipInterval)) {
 		return
 	}
-	tick := time.NewTicker(gossipInterval)
+	tick := time.NewTicker(unlistedInterval)
 	defer tick.Stop()
-	for {
+	for count := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -142,6 +144,9 @@
 				}
 			}
 		case <-tick.C:
+			if count++; count%int(gossipInterval/unlistedInterval) != 0 && spr.listed() {
+				continue
+			}
 			spr.markDown()
 			for _, host := range spr.partners() {
 				grp.Go(func() { spr.offer(ctx, host) })
@@ -151,6 +156,14 @@
 	}
 }
 
+// listed says whether this node is on the host list in force.
+func (spr *Spreader) listed() bool {
+	spr.mu.Lock()
+	defer spr.mu.Unlock()
+	hos := spr.store.Hosts()
+	return hos == nil || hos.Host(spr.set.Self) != nil
+}
+
 // markDown takes over what the connections show, so that a silent host is replaced before an exchange fails.
 func (spr *Spreader) markDown() {
 	spr.mu.Lock()
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -21,6 +21,7 @@
 	instance string
 	slots    int
 	cold     time.Duration
+	coldAt   uint64
 }
 
 // ID returns the host's name.
@@ -47,6 +48,10 @@
 // Cold returns how much longer the upstream was cold when the list was written.
 func (hos *Host) Cold() time.Duration { return hos.cold }
 
+// ColdAt returns the version of the list at which the upstream was found cold, or 0. A later version that shows the
+// same value shows the same observation.
+func (hos *Host) ColdAt() uint64 { return hos.coldAt }
+
 // Hosts is one checked version of the host list; it does not change.
 type Hosts struct {
 	version  uint64
@@ -137,7 +142,7 @@
 func (hos *Hosts) readHosts(rea *reader, root *node) {
 	ids, addrs := map[string]bool{}, map[string]bool{}
 	for _, nod := range rea.items(root, "hosts") {
-		if !rea.known(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold") {
+		if !rea.known(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold", "cold_at") {
 			continue
 		}
 		item := &Host{
@@ -152,6 +157,7 @@
 		}
 		if nod.fields["cold"] != nil {
 			item.cold = rea.duration(nod, "cold")
+			item.coldAt = uint64(rea.count(nod, "cold_at"))
 		}
 		rea.unique(ids, nod, item.id)
 		rea.unique(addrs, nod, item.peer)
--- a/core/state/retry/ratio.go
+++ b/core/state/retry/ratio.go
@@ -64,6 +64,15 @@
 // Call counts a call that is not a retry.
 func (rat *Ratio) Call(now time.Time) { rat.calls.add(second(now), 1) }
 
+// AllowPart is Allow with a smaller share of the bound, for retries that leave the rest to more important ones.
+func (rat *Ratio) AllowPart(now time.Time, part float64) bool {
+	sec := second(now)
+	if float64(rat.retries.sum(sec)+1) > part*rat.share*float64(rat.calls.sum(sec)) && rat.retries.sum(sec) >= uint64(part*float64(rat.floor)) {
+		return false
+	}
+	return rat.Allow(now)
+}
+
 // Allow counts one retry and reports whether the ratio allows it; a refused retry is not counted.
 func (rat *Ratio) Allow(now time.Time) bool {
 	sec := second(now)
--- a/core/state/stage/stage.go
+++ b/core/state/stage/stage.go
@@ -224,8 +224,8 @@
 	}
 	win := sta.window(cal.spec.Class)
 	win.leave()
-	if res == Answered {
-		win.finished(now, cal.spec.Target)
+	if res != Cancelled {
+		win.finished(now, cal.spec.Target, res == Answered)
 	}
 }
 
--- a/core/state/stage/window.go
+++ b/core/state/stage/window.go
@@ -12,6 +12,7 @@
 	buckets  = 10
 	// leastWindow and leastShare keep a window open for roots of a class that has seen none finish lately: after a
 	// pause, or while every chain fails, some must be tried. The larger one holds.
+	// While most roots fail, as when a service below has no host, fewer are tried: each one costs work below.
 	leastWindow = 4
 	leastShare  = 1.0 / 8 // of the slots
 	// openTime is how long a class without history is not limited, about two roots long.
@@ -23,8 +24,14 @@
 	flying int
 	began  time.Time // first root
 	target time.Duration
-	counts [buckets]int // completions, by tenth of rateTime
-	at     int64        // number of the newest bucket
+	counts [buckets]count // by tenth of rateTime
+	at     int64          // number of the newest bucket
+}
+
+// count is what became of roots in one bucket.
+type count struct {
+	answered int
+	failed   int
 }
 
 const bucketTime = rateTime / buckets
@@ -35,28 +42,31 @@
 func (win *window) roll(now time.Time) {
 	at := bucketOf(now)
 	for num := max(win.at+1, at-buckets+1); num <= at; num++ {
-		win.counts[num%buckets] = 0
+		win.counts[num%buckets] = count{}
 	}
 	win.at = max(win.at, at)
 }
 
-func (win *window) rate(now time.Time) float64 {
+func (win *window) sum(now time.Time) count {
 	win.roll(now)
-	total := 0
-	for _, count := range win.counts {
-		total += count
+	var total count
+	for _, cou := range win.counts {
+		total.answered += cou.answered
+		total.failed += cou.failed
 	}
-	return float64(total) / rateTime.Seconds()
+	return total
 }
 
 // limit returns how many roots may be in flight.
 func (win *window) limit(now time.Time, slots int) int {
-	if win.began.IsZero() || now.Sub(win.began) < openTime {
+	total := win.sum(now)
+	answered := float64(total.answered+1) / float64(total.answered+total.failed+1)
+	least := answered * answered * max(leastWindow, leastShare*float64(slots))
+	if total.failed == 0 && (win.began.IsZero() || now.Sub(win.began) < openTime) {
 		return slots
 	}
-	least := max(leastWindow, int(leastShare*float64(slots)))
-	fits := win.rate(now) * windowShare * win.target.Seconds()
-	return min(max(least, int(fits)+1), slots)
+	fits := float64(total.answered) / rateTime.Seconds() * windowShare * win.target.Seconds()
+	return min(int(max(least, fits))+1, slots)
 }
 
 func (win *window) closed(now time.Time, slots int) bool { return win.flying >= win.limit(now, slots) }
@@ -70,11 +80,15 @@
 
 func (win *window) leave() { win.flying-- }
 
-// finished counts a root that was answered.
-func (win *window) finished(now time.Time, target time.Duration) {
+// finished counts a root that was answered or failed.
+func (win *window) finished(now time.Time, target time.Duration, answered bool) {
 	win.target = target
 	win.roll(now)
-	win.counts[win.at%buckets]++
+	if answered {
+		win.counts[win.at%buckets].answered++
+	} else {
+		win.counts[win.at%buckets].failed++
+	}
 }
 
 // pacer bounds the requests to a cold upstream in any second.
