--- a/core/state/meter/meter.go
+++ b/core/state/meter/meter.go
@@ -12,12 +12,12 @@
 	// enforced is the multiple of a team's rate that all hosts together admit for long. A part in proportion to a noisy
 	// demand refuses requests of a team that is at its rate; the burst, which a team may use in addition, covers the
 	// difference.
-	enforced = 1.15
+	enforced = 1.1
 	// reportLife is how long a host's report counts.
 	reportLife = 1500 * time.Millisecond
 	// A host may admit the requests of partTime at once when the rate is divided, and at least leastBurst.
-	partTime   = time.Second
-	leastBurst = 3.0
+	partTime   = 300 * time.Millisecond
+	leastBurst = 2.0
 	leastPart  = 0.5 // requests a second, so that a team with small demand at a host is not cut off
 )
 
