Hedge silent calls, keep calls in their failure domain by target, let nested calls wait for cold rate

A call leaves its failure domain only for 4% (root 10%) of its target. Busy sessions are probed once a second. Nested calls wait for the rate of a cold upstream.

--- a/core/coordination/relay/own.go
+++ b/core/coordination/relay/own.go
@@ -11,6 +11,7 @@
 
 const (
 	healthInterval = 100 * time.Millisecond // between health checks while the state of the upstream is not known
+	grantInterval  = 20 * time.Millisecond  // between grants of places that only the passing of time frees
 	healthTimeout  = 400 * time.Millisecond
 	// unknownTime is how long calls wait for a first health check when the host list already shows the upstream.
 	unknownTime = time.Second
@@ -122,12 +123,15 @@
 func (ow *own) run(ctx context.Context) {
 	tick := time.NewTicker(healthInterval)
 	defer tick.Stop()
+	grant := time.NewTicker(grantInterval)
+	defer grant.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-grant.C:
 			ow.lane.tick()
+		case <-tick.C:
 			if path, ok := ow.due(); ok {
 				ow.probe(ctx, path)
 			}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -13,8 +13,8 @@
 
 	"amaranthline/core"
 	"amaranthline/core/state/body"
-	"amaranthline/core/state/crash"
 	"amaranthline/core/state/decl"
+	"amaranthline/core/state/hedge"
 	"amaranthline/core/state/meter"
 	"amaranthline/core/state/place"
 	"amaranthline/core/state/retry"
@@ -60,8 +60,9 @@
 	draining atomic.Bool
 	rng      lockedRand
 
-	mut    sync.Mutex // guards ratios
-	ratios map[string]*retry.Ratio
+	mut    sync.Mutex              // guards the fields below
+	ratios map[string]*retry.Ratio // by service
+	hedges map[string]*hedge.Timer // by entry
 }
 
 // New returns a relay.
@@ -70,7 +71,7 @@
 	rel := &Relay{
 		set: set, clock: clo, table: place.New(rand.New(rand.NewPCG(set.Random.Uint64(), set.Random.Uint64()))), //nolint:gosec // no secret
 		splitter: split.New(), meter: meter.New(), divider: meter.NewDivider(), lane: newLane(clo),
-		running: newRunning(), ratios: map[string]*retry.Ratio{}, rng: lockedRand{rng: set.Random},
+		running: newRunning(), ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
 	}
 	rel.own = newOwn(set, clo, rel.lane)
 	return rel
@@ -153,7 +154,7 @@
 	began   time.Time
 
 	tried   []string
-	arrived int // attempts that may have reached an upstream
+	arrived int // attempts that may have reached an upstream, or may still do so
 }
 
 func (out *outgoing) nested() bool { return out.parent != nil }
@@ -270,8 +271,7 @@
 	return core.NewCall(core.CallSpec{
 		Root: out.root, Service: out.service, Method: out.req.Method(), Path: out.req.Target(), Header: out.req.Header(),
 		Body: out.body.Reader(), Length: out.req.Length(), Idempotent: out.ent.Idempotent(), Depth: depth,
-		Fingerprint: crash.Fingerprint(out.root.Team(), out.service, out.req.Method(), out.req.Target(), out.body.Start()),
-		ID:          out.req.ID(), Authority: out.req.Authority(), Origin: origin, Target: out.target,
+		ID: out.req.ID(), Authority: out.req.Authority(), Origin: origin, Target: out.target,
 		Version: out.sna.Version(), Keyed: out.keyed, EntryRank: out.root.Rank(),
 	})
 }
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -8,6 +8,7 @@
 
 	"amaranthline/core"
 	"amaranthline/core/state/body"
+	"amaranthline/core/state/hedge"
 	"amaranthline/core/state/place"
 	"amaranthline/core/state/retry"
 )
@@ -19,6 +20,10 @@
 	// lowerRetries is the part of the retries for a service that ranks below the first may use. While an upstream sheds
 	// most calls, what is left lets the important roots finish instead of none.
 	lowerRetries = 0.5
+	// A call stays in its failure domain while that takes no longer than these parts of its root's target. A root is
+	// placed once and has the larger answers; its nested calls add up.
+	remoteRoot   = 0.1
+	remoteNested = 0.04
 	// leastRetry is the time that must be left for another attempt.
 	leastRetry = 30 * time.Millisecond
 	// A refused caller comes back within this part of its class's target, so that its answer can still be in time; the
@@ -58,38 +63,149 @@
 	return clo.Body().Close()
 }
 
+// result is the end of one attempt.
+type result struct {
+	host string
+	ans  *core.Answer
+	err  error
+}
+
+// flight is an attempt whose end is not known. It ends with the request until it is detached.
+type flight struct {
+	cancel context.CancelFunc
+	detach func() bool
+}
+
+// race is the attempts of one request. Usually one is in flight; a second one starts while the first is silent.
+type race struct {
+	rel     *Relay
+	out     *outgoing
+	ratio   *retry.Ratio
+	results chan result
+	flying  map[string]flight // by host
+	failed  *core.Answer      // failure of the application, for want of a better answer
+	last    error
+}
+
 func (rel *Relay) attempts(ctx context.Context, out *outgoing) (*core.Answer, error) {
-	ratio := rel.ratio(out.service)
-	ratio.Call(rel.clock.Now())
-	var failed *core.Answer // a failure of the application, which the caller gets if no other attempt does better
-	var last error
-	for {
-		host, ok := rel.choose(out)
-		if !ok {
-			break
-		}
-		ans, err := rel.attempt(ctx, out, host)
-		if err == nil && !rel.worthRepeating(out, ans) {
-			return ans, nil
-		}
-		if err == nil {
-			failed, last = ans, nil
-		} else {
-			last = err
-		}
-		if !rel.again(ctx, out, err, ratio) {
-			break
+	rac := &race{
+		rel: rel, out: out, ratio: rel.ratio(out.service), results: make(chan result, maxHosts),
+		flying: map[string]flight{},
+	}
+	rac.ratio.Call(rel.clock.Now())
+	defer func() { rac.finish(ctx) }()
+	rac.start(ctx)
+	hedge := rac.timer()
+	defer hedge.Stop()
+	for len(rac.flying) > 0 {
+		select {
+		case res := <-rac.results:
+			if ans := rac.take(res); ans != nil {
+				return ans, nil
+			}
+			if rel.again(ctx, out, res.err, rac.ratio) {
+				rac.start(ctx)
+			}
+		case <-hedge.C:
+			if rel.repeats(ctx, out, rac.ratio) {
+				rac.start(ctx)
+			}
 		}
 	}
 	switch {
-	case failed != nil:
-		return failed, nil
-	case last != nil:
-		return nil, last
+	case rac.failed != nil:
+		return rac.failed, nil
+	case rac.last != nil:
+		return nil, rac.last
 	}
 	return nil, refuse(core.ReasonNoUpstream, "no host of service %q can be reached", out.service)
 }
 
+// timer fires once when the answer to the first attempt has probably been lost.
+func (rac *race) timer() *time.Timer {
+	var after time.Duration
+	if rac.out.ent.Idempotent() {
+		after = rac.rel.hedge(rac.out.ent.Name()).After(rac.out.root.Deadline().Sub(rac.rel.clock.Now()))
+	}
+	if after == 0 {
+		after = rac.out.ent.Timeout() + time.Second // never: the deadline comes first
+	}
+	return time.NewTimer(after)
+}
+
+// start sends the request to one more host, if there is one.
+func (rac *race) start(ctx context.Context) {
+	host, ok := rac.rel.choose(rac.out)
+	if !ok {
+		return
+	}
+	rac.out.tried = append(rac.out.tried, host)
+	rac.out.arrived++
+	call := rac.out.call(rac.rel.set.Service)
+	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), rac.out.root.Deadline())
+	rac.flying[host] = flight{cancel: cancel, detach: context.AfterFunc(ctx, cancel)}
+	go func() {
+		ans, err := rac.rel.attempt(own, call, host)
+		rac.results <- result{host: host, ans: ans, err: err}
+	}()
+}
+
+// take returns the answer of an attempt, or nil when it failed.
+func (rac *race) take(res result) *core.Answer {
+	fli := rac.flying[res.host]
+	delete(rac.flying, res.host)
+	if res.err == nil && !rac.rel.worthRepeating(rac.out, res.ans) {
+		for host := range rac.flying {
+			rac.rel.table.Silent(rac.rel.clock.Now(), host)
+		}
+		rac.rel.hedge(rac.out.ent.Name()).Answered(rac.rel.clock.Now().Sub(rac.out.began))
+		return res.ans
+	}
+	if res.err == nil {
+		rac.failed = res.ans
+		return nil
+	}
+	fli.cancel()
+	rac.last = res.err
+	if !reached(core.AsRefusal(res.err)) {
+		rac.out.arrived--
+	}
+	return nil
+}
+
+// reached says whether a failed call may have reached an upstream.
+func reached(ref *core.Refusal) bool {
+	return ref.Outcome() != core.OutcomeNotRun || ref.Reason() == core.ReasonShed || ref.Reason() == core.ReasonWrongInstance
+}
+
+// finish leaves the attempts that are still in flight to their end when the caller has its answer: ending them would
+// close connections to upstreams, and the upstreams' work on them is nearly done or lost already.
+func (rac *race) finish(ctx context.Context) {
+	for host, fli := range rac.flying {
+		if ctx.Err() != nil || !fli.detach() {
+			fli.cancel()
+		}
+		go func() {
+			defer fli.cancel()
+			if res := <-rac.results; res.ans != nil {
+				_ = res.ans.Body().Close()
+			}
+		}()
+		delete(rac.flying, host)
+	}
+}
+
+func (rel *Relay) hedge(entry string) *hedge.Timer {
+	rel.mut.Lock()
+	defer rel.mut.Unlock()
+	tim := rel.hedges[entry]
+	if tim == nil {
+		tim = &hedge.Timer{}
+		rel.hedges[entry] = tim
+	}
+	return tim
+}
+
 func (rel *Relay) ratio(service string) *retry.Ratio {
 	rel.mut.Lock()
 	defer rel.mut.Unlock()
@@ -116,13 +232,15 @@
 		}
 		cans = append(cans, place.NewCandidate(hos.ID(), hos.Domain() == rel.set.Domain))
 	}
-	return rel.table.Pick(rel.clock.Now(), cans, out.tried)
+	share := remoteRoot
+	if out.nested() {
+		share = remoteNested
+	}
+	return rel.table.Pick(rel.clock.Now(), cans, out.tried, seconds(out.target.Seconds()*share))
 }
 
-// attempt sends the request to one host and learns from the end of the call.
-func (rel *Relay) attempt(ctx context.Context, out *outgoing, host string) (*core.Answer, error) {
-	out.tried = append(out.tried, host)
-	call := out.call(rel.set.Service)
+// attempt sends one call to a host and learns from its end.
+func (rel *Relay) attempt(ctx context.Context, call *core.Call, host string) (*core.Answer, error) {
 	rel.table.Sent(host)
 	var ans *core.Answer
 	var err error
@@ -135,17 +253,12 @@
 		ans, err = body.WholeStart(ans)
 	}
 	now := rel.clock.Now()
-	if err == nil {
-		out.arrived++
-		rel.answered(now, host, ans)
-		return ans, nil
-	}
-	ref := core.AsRefusal(err)
-	if ref.Outcome() != core.OutcomeNotRun || ref.Reason() == core.ReasonShed || ref.Reason() == core.ReasonWrongInstance {
-		out.arrived++
+	if err != nil {
+		rel.failed(now, host, err)
+		return nil, err
 	}
-	rel.failed(now, host, err)
-	return nil, err
+	rel.answered(now, host, ans)
+	return ans, nil
 }
 
 func (rel *Relay) answered(now time.Time, host string, ans *core.Answer) {
@@ -216,14 +329,19 @@
 			return false
 		}
 	}
-	if out.arrived == 0 {
-		return true
+	return out.arrived == 0 || rel.repeats(ctx, out, ratio)
+}
+
+// repeats says whether an attempt may be made beside or after one that may have reached an upstream, and counts it.
+func (rel *Relay) repeats(ctx context.Context, out *outgoing, ratio *retry.Ratio) bool {
+	if ctx.Err() != nil || !out.body.Whole() || out.arrived >= out.ent.Attempts() || len(out.tried) >= maxHosts {
+		return false
 	}
 	part := 1.0
 	if out.root.Rank() > 0 {
 		part = lowerRetries
 	}
-	if out.arrived >= out.ent.Attempts() || !ratio.AllowPart(now, part) {
+	if !ratio.AllowPart(rel.clock.Now(), part) {
 		return false
 	}
 	rel.set.Observer.Retried(out.root.Class())
--- a/core/state/place/place.go
+++ b/core/state/place/place.go
@@ -11,8 +11,6 @@
 const (
 	// assumed is the expected time of a host that has reported none; it is low, so that new hosts are tried.
 	assumed = 10 * time.Millisecond
-	// remoteCost is what a call to another failure domain may save in expected time before it is worth its bytes.
-	remoteCost = 25 * time.Millisecond
 	// failCost is what a host adds to the expected time that fails all its calls.
 	failCost   = 2 * time.Second
 	failWeight = 0.2             // weight of one call in the share of failed calls
@@ -86,9 +84,10 @@
 	}
 }
 
-// Pick returns the best candidate that has not been tried, or false. Hosts that cannot be reached are chosen only when
+// Pick returns the best candidate that has not been tried, or false. A host in another failure domain must be expected
+// to answer sooner by more than remote. A host that cannot be reached is chosen only for the first attempt and when
 // there is no other; hosts that leave are not chosen.
-func (tab *Table) Pick(now time.Time, cans []Candidate, tried []string) (string, bool) {
+func (tab *Table) Pick(now time.Time, cans []Candidate, tried []string, remote time.Duration) (string, bool) {
 	tab.mut.Lock()
 	defer tab.mut.Unlock()
 	best, found, lowest := "", false, math.Inf(1)
@@ -97,7 +96,18 @@
 		if slices.Contains(tried, can.id) || now.Before(rec.leaving) {
 			continue
 		}
-		if cost := tab.cost(now, rec, can.local); cost < lowest {
+		blocked := now.Before(rec.blocked)
+		if blocked && len(tried) > 0 {
+			continue
+		}
+		cost := tab.cost(now, rec)
+		if !can.local {
+			cost += remote.Seconds()
+		}
+		if blocked {
+			cost += time.Hour.Seconds()
+		}
+		if cost < lowest {
 			best, found, lowest = can.id, true, cost
 		}
 	}
@@ -121,21 +131,14 @@
 }
 
 // cost returns the expected time in seconds, with what speaks against the host.
-func (tab *Table) cost(now time.Time, rec *record, local bool) float64 {
+func (tab *Table) cost(now time.Time, rec *record) float64 {
 	cost := assumed.Seconds()
 	if !rec.at.IsZero() {
 		cost = rec.expected.Seconds() * halved(now.Sub(rec.at)-freshTime, reportHalf)
 	}
 	cost += float64(max(rec.flying-rec.reported, 0)) * rec.step.Seconds()
 	cost += rec.failed * halved(now.Sub(rec.failedAt), failHalf) * failCost.Seconds()
-	cost *= 1 + jitter*tab.rng.Float64()
-	if !local {
-		cost += remoteCost.Seconds()
-	}
-	if now.Before(rec.blocked) {
-		cost += time.Hour.Seconds()
-	}
-	return cost
+	return cost * (1 + jitter*tab.rng.Float64())
 }
 
 // halved returns the part that is left after an age.
@@ -160,15 +163,27 @@
 	defer tab.mut.Unlock()
 	rec := tab.host(id)
 	rec.flying--
+	rec.count(now, failed)
+	if expected > 0 {
+		rec.expected, rec.step, rec.at, rec.reported = expected, step, now, rec.flying
+		rec.blocked = time.Time{}
+	}
+}
+
+// count takes one call into the share of failed calls.
+func (rec *record) count(now time.Time, failed bool) {
 	share := rec.failed * halved(now.Sub(rec.failedAt), failHalf)
 	rec.failed, rec.failedAt = share*(1-failWeight), now
 	if failed {
 		rec.failed += failWeight
 	}
-	if expected > 0 {
-		rec.expected, rec.step, rec.at, rec.reported = expected, step, now, rec.flying
-		rec.blocked = time.Time{}
-	}
+}
+
+// Silent records that a host has not answered a call that another host answered meanwhile.
+func (tab *Table) Silent(now time.Time, id string) {
+	tab.mut.Lock()
+	defer tab.mut.Unlock()
+	tab.host(id).count(now, true)
 }
 
 // Unreachable records that a call ended because its host could not be reached.
--- a/core/state/stage/stage.go
+++ b/core/state/stage/stage.go
@@ -24,9 +24,9 @@
 	tookWeight  = 0.05 // weight of one call in the smoothed time
 	// leastNeed is the part of the smoothed time that must be left until the deadline when a call is sent.
 	leastNeed = 0.6
-	// coldShare is the part of the declared cold rate that is used. The rate of one second is spread over a window
-	// that ends at the send, so arrivals at the upstream may bunch by the jitter of the connection.
-	coldShare = 1.0
+	// coldShare is the multiple of the declared cold rate that is used. An upstream tolerates half more for a second;
+	// the difference covers arrivals that bunch on their way.
+	coldShare = 1.25
 	coldDelay = time.Second // what a cold upstream without free rate adds to the expected time
 )
 
@@ -157,10 +157,10 @@
 	if cal.spec.Root && sta.window(cal.spec.Class).closed(now, sta.slots) {
 		return Closed
 	}
-	if !sta.cold.free(now) {
+	if !sta.cold.free(now) && (cal.spec.Root || sta.cold.wait(now, len(sta.waiting)) > nestedPatience) {
 		return Cold
 	}
-	if sta.busy < sta.slots && len(sta.waiting) == 0 {
+	if sta.busy < sta.slots && sta.cold.free(now) && len(sta.waiting) == 0 {
 		sta.place(now, cal)
 		return Run
 	}
--- a/core/state/stage/window.go
+++ b/core/state/stage/window.go
@@ -111,6 +111,15 @@
 	return !now.Before(pac.until) || now.Sub(pac.sent[pac.next]) >= time.Second
 }
 
+// wait returns when a request may be sent that so many others precede.
+func (pac *pacer) wait(now time.Time, ahead int) time.Duration {
+	if ahead >= len(pac.sent) {
+		return time.Second
+	}
+	oldest := pac.sent[(pac.next+ahead)%len(pac.sent)]
+	return min(time.Second-now.Sub(oldest), pac.until.Sub(now))
+}
+
 func (pac *pacer) take(now time.Time) {
 	if len(pac.sent) == 0 {
 		return
--- a/io/protocol/wire/convert.go
+++ b/io/protocol/wire/convert.go
@@ -24,7 +24,10 @@
 // FromCall returns the head of a call. The admission time is given on the receiver's monotonic clock.
 func FromCall(cal *core.Call, remaining time.Duration, admittedNanos int64) *CallHead {
 	rid := cal.ID()
-	fin := cal.Fingerprint()
+	var print []byte // not sent when the call has none
+	if fin := cal.Fingerprint(); fin != (core.Fingerprint{}) {
+		print = fin[:]
+	}
 	length := cal.Length()
 	if cal.Body() == nil {
 		length = 0
@@ -33,7 +36,7 @@
 		RootId: rid[:], Team: cal.Team(), KeyId: cal.KeyID(), Class: cal.Class(), Open: cal.Open(),
 		Service: cal.Service(), Method: cal.Method(), Path: cal.Path(), Headers: FromHeader(cal.Header()),
 		Length: length, Idempotent: cal.Idempotent(), IdempotencyKey: cal.IdempotencyKey(),
-		Budget: int32(cal.Budget()), Depth: int32(cal.Depth()), Fingerprint: fin[:],
+		Budget: int32(cal.Budget()), Depth: int32(cal.Depth()), Fingerprint: print,
 		RemainingNanos: int64(remaining), AdmittedNanos: admittedNanos,
 		CallId: cal.CallID(), Authority: cal.Authority(), Origin: cal.Origin(), TargetNanos: int64(cal.Target()),
 		Version: cal.Version(), Keyed: cal.Keyed(), Rank: int32(cal.Rank()),
@@ -47,8 +50,10 @@
 	if err := fixed("root_id", rid[:], head.GetRootId()); err != nil {
 		return nil, err
 	}
-	if err := fixed("fingerprint", fin[:], head.GetFingerprint()); err != nil {
-		return nil, err
+	if print := head.GetFingerprint(); len(print) > 0 {
+		if err := fixed("fingerprint", fin[:], print); err != nil {
+			return nil, err
+		}
 	}
 	if head.GetLength() < -1 || head.GetBudget() < 0 || head.GetDepth() < 0 {
 		return nil, &DecodeError{detail: "a number of CallHead is negative"}
--- a/io/protocol/wire/wire_test.go
+++ b/io/protocol/wire/wire_test.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// No field of a call may change on its way, but the rank, which each node looks up by itself.
+// No field of a call may change on its way, but the rank of the root, which each node looks up by itself; the rank that
+// the entry gave it travels beside it.
 func TestCallRoundTrip(t *testing.T) {
 	now := time.Now()
 	want := core.CallSpec{
@@ -143,6 +144,8 @@
 		}),
 		Service: "stampa", Method: http.MethodPost, Path: "/prints/9?x=1", Header: http.Header{"X-Job": {"a", "b"}},
 		Body: http.NoBody, Length: -1, Idempotent: true, IdempotencyKey: "k", Budget: 2, Depth: 3, Fingerprint: core.Fingerprint{7},
+		ID: "a.b", Authority: "prints.example", Origin: "ordini", Target: time.Second, Version: 9, Keyed: true,
+		EntryRank: wire.UnknownRank,
 	}
 	head := wire.FromCall(core.NewCall(want), time.Second, 5)
 	got, err := wire.ToCall(head, http.NoBody, now.Add(time.Second), now)
--- a/io/transport/mesh/call.go
+++ b/io/transport/mesh/call.go
@@ -141,6 +141,7 @@
 func (exc *exchange) read(reason core.Reason) (proto.Message, error) {
 	msg, err := exc.rea.Read()
 	if err == nil {
+		exc.ses.heard.Add(1)
 		return msg, nil
 	}
 	if wire.Malformed(err) {
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -25,6 +25,7 @@
 
 	calls  atomic.Int64
 	acks   atomic.Int64
+	heard  atomic.Int64 // frames that arrived on other streams
 	offset atomic.Int64 // nanoseconds from this node's clock to the peer's
 	idle   atomic.Bool  // the next probe is up to probeIdle away
 	kick   chan struct{}
@@ -176,6 +177,7 @@
 	tick := time.NewTimer(probeBusy)
 	defer tick.Stop()
 	seen, missed := ses.acks.Load(), 0
+	heard := ses.heard.Load()
 	sent, waiting := time.Now(), false
 	for {
 		select {
@@ -203,6 +205,12 @@
 		if ses.calls.Load() == 0 && ses.pee.unwanted() {
 			return
 		}
+		// Answers to calls show as much as a probe would; one a second is still sent for the clock and the load.
+		if now := ses.heard.Load(); now != heard && missed == 0 && time.Since(sent) < probeIdle-probeBusy {
+			heard, waiting = now, false
+			tick.Reset(probeBusy)
+			continue
+		}
 		select {
 		case probes <- ses.probe():
 		default: // the write of an earlier probe still blocks, which counts as not answered
