--- a/core/state/meter/meter.go
+++ b/core/state/meter/meter.go
@@ -9,15 +9,18 @@
 	// demandTime is the time over which demand is smoothed. A host gets a few requests a second of a team, whose
 	// demand over a shorter time would say little.
 	demandTime = time.Second
-	// enforced is the multiple of a team's rate that all hosts together admit for long. A part in proportion to a noisy
-	// demand refuses requests of a team that is at its rate; the burst, which a team may use in addition, covers the
-	// difference.
-	enforced = 1.1
+	// All hosts together admit a multiple of a team's rate that falls from mostOver, for a team that asks for its rate,
+	// to leastOver for one that asks for overFall more multiples of it. A part in proportion to a noisy demand refuses
+	// requests of a team at its rate, and a team may use its burst in addition; a team that sends several times its rate
+	// has used the burst before the first division.
+	mostOver  = 1.4
+	leastOver = 1.1
+	overFall  = 2.0
 	// reportLife is how long a host's report counts.
 	reportLife = 1500 * time.Millisecond
 	// A host may admit the requests of partTime at once when the rate is divided, and at least leastBurst.
 	partTime   = 300 * time.Millisecond
-	leastBurst = 2.0
+	leastBurst = 3.0
 	leastPart  = 0.5 // requests a second, so that a team with small demand at a host is not cut off
 )
 
@@ -183,8 +186,10 @@
 		}
 		total += rep.demand
 	}
-	if total < enforced*rate {
-		return usa.demand + enforced*rate - total
+	excess := min(max(total/max(rate, leastPart)-1, 0)/overFall, 1)
+	admitted := rate * (mostOver - excess*(mostOver-leastOver))
+	if total < admitted {
+		return usa.demand + admitted - total
 	}
-	return enforced * rate * usa.demand / total
+	return admitted * usa.demand / total
 }
--- a/core/state/stage/stage.go
+++ b/core/state/stage/stage.go
@@ -154,7 +154,7 @@
 	if left <= 0 || sta.busy > 0 && left < sta.need() {
 		return Late
 	}
-	if cal.spec.Root && sta.window(cal.spec.Class).closed(now, sta.slots) {
+	if cal.spec.Root && sta.window(cal.spec).closed(now, sta.slots) {
 		return Closed
 	}
 	if !sta.cold.free(now) && (cal.spec.Root || sta.cold.wait(now, len(sta.waiting)) > nestedPatience) {
@@ -181,7 +181,7 @@
 		return Full
 	}
 	if cal.spec.Root {
-		sta.window(cal.spec.Class).enter(now)
+		sta.window(cal.spec).enter(now)
 	}
 	heap.Push(&sta.waiting, cal)
 	return Wait
@@ -190,7 +190,7 @@
 // place gives a call its place. A root that waited is in its window already.
 func (sta *Stage) place(now time.Time, cal *Call) {
 	if cal.spec.Root && cal.due.IsZero() {
-		sta.window(cal.spec.Class).enter(now)
+		sta.window(cal.spec).enter(now)
 	}
 	sta.busy++
 	sta.cold.take(now)
@@ -204,7 +204,7 @@
 	}
 	heap.Remove(&sta.waiting, cal.index)
 	if cal.spec.Root {
-		sta.window(cal.spec.Class).leave()
+		sta.window(cal.spec).leave()
 	}
 	return true
 }
@@ -222,7 +222,7 @@
 	if !cal.spec.Root {
 		return
 	}
-	win := sta.window(cal.spec.Class)
+	win := sta.window(cal.spec)
 	win.leave()
 	if res != Cancelled {
 		win.finished(now, cal.spec.Target, res == Answered)
@@ -236,7 +236,7 @@
 		cal, _ := heap.Pop(&sta.waiting).(*Call)
 		if left := cal.spec.Deadline.Sub(now); left <= 0 || left < sta.need() {
 			if cal.spec.Root {
-				sta.window(cal.spec.Class).leave()
+				sta.window(cal.spec).leave()
 			}
 			late = append(late, cal)
 			continue
@@ -247,12 +247,13 @@
 	return granted, late
 }
 
-func (sta *Stage) window(class string) *window {
-	win := sta.windows[class]
+func (sta *Stage) window(spec Spec) *window {
+	win := sta.windows[spec.Class]
 	if win == nil {
 		win = &window{}
-		sta.windows[class] = win
+		sta.windows[spec.Class] = win
 	}
+	win.rank = spec.Rank
 	return win
 }
 
--- a/core/state/stage/window.go
+++ b/core/state/stage/window.go
@@ -1,11 +1,18 @@
 package stage
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// windowShare is the part of the target within which the roots in flight finish at the present rate. The rest is
 	// left for the spread of their times.
 	windowShare = 0.85
+	// firstSpread is how many standard deviations of the number in flight (its square root, as arrivals are random) the
+	// window of the first rank leaves above its mean. Without it a window refuses a tenth of a load that fits; lower
+	// ranks do without, so that their windows close first.
+	firstSpread = 2
 	// rateTime is the time over which completions are counted. It is about the time of one root, so that a rate that
 	// falls shows before many more roots have been admitted.
 	rateTime = time.Second
@@ -21,6 +28,7 @@
 
 // window bounds the roots of one class that are in flight at a host.
 type window struct {
+	rank   int
 	flying int
 	began  time.Time // first root
 	target time.Duration
@@ -66,6 +74,9 @@
 		return slots
 	}
 	fits := float64(total.answered) / rateTime.Seconds() * windowShare * win.target.Seconds()
+	if win.rank == 0 {
+		fits += firstSpread * math.Sqrt(fits)
+	}
 	return min(int(max(least, fits))+1, slots)
 }
 
