Report a surge of a team at once; tests that replay the load patterns of the decisions

Reports every 250 ms with smoothed demand come too late. Ruled out: a smaller share of the rate before the first report; it refuses teams whose callers sit on few hosts. Change: a host reports within 50 ms when a team asks for far more than usual.

--- a/core/coordination/relay/rates.go
+++ b/core/coordination/relay/rates.go
@@ -14,6 +14,7 @@
 
 const (
 	reportInterval = 250 * time.Millisecond
+	surgeInterval  = 50 * time.Millisecond // between reports while a team asks for far more than usual
 	reportTimeout  = 500 * time.Millisecond
 	// Small demands are reported less often: a team whose demand at this host is below an even part of its rate cannot
 	// be near its rate because of this host.
@@ -25,14 +26,17 @@
 	var grp sync.WaitGroup
 	defer grp.Wait()
 	grp.Go(func() { rel.own.run(ctx) })
-	tick := time.NewTicker(reportInterval)
+	tick := time.NewTicker(surgeInterval)
 	defer tick.Stop()
+	const ticks = int(reportInterval / surgeInterval)
 	for count := 0; ; count++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			rel.report(ctx, &grp, count%smallEvery == 0)
+			if count%ticks == 0 || rel.meter.Surge() {
+				rel.report(ctx, &grp, count%(ticks*smallEvery) == 0)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/core/state/hedge/hedge_test.go
@@ -0,0 +1,46 @@
+package hedge_test
+
+import (
+	"testing"
+	"time"
+
+	"amaranthline/core/state/hedge"
+)
+
+// A call must be repeated only when its answer is far later than others, and only when a further call still has the
+// time: an early repeat doubles the load of a slow service.
+func TestAfter(t *testing.T) {
+	tests := []struct {
+		name      string
+		answers   int
+		took      time.Duration
+		remaining time.Duration
+		low, high time.Duration
+	}{
+		{"too few answers", 10, 50 * time.Millisecond, time.Second, 0, 0},
+		{"steady answers", 100, 50 * time.Millisecond, time.Second, 60 * time.Millisecond, 150 * time.Millisecond},
+		{"no time for another", 100, 50 * time.Millisecond, 90 * time.Millisecond, 0, 0},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			var tim hedge.Timer
+			for range tst.answers {
+				tim.Answered(tst.took)
+			}
+			if got := tim.After(tst.remaining); got < tst.low || got > tst.high {
+				t.Errorf("after %v, want %v to %v", got, tst.low, tst.high)
+			}
+		})
+	}
+}
+
+// Answers that differ by a factor of four must not count as lost.
+func TestSpread(t *testing.T) {
+	var tim hedge.Timer
+	for i := range 200 {
+		tim.Answered(time.Duration(20+20*(i%4)) * time.Millisecond)
+	}
+	if got := tim.After(time.Second); got < 120*time.Millisecond {
+		t.Errorf("after %v, although answers take up to 80 ms", got)
+	}
+}
--- a/core/state/meter/meter.go
+++ b/core/state/meter/meter.go
@@ -21,6 +21,11 @@
 	// A host may admit the requests of partTime at once when the rate is divided, and at least leastBurst.
 	partTime   = 300 * time.Millisecond
 	leastBurst = 3.0
+	// A surge is reported at once: more requests since the last report than surgeLeast and surgeTimes what the smoothed
+	// demand of surgeTime explains. Twelve times the usual demand passes the allowed rate within half a second.
+	surgeLeast = 3.0
+	surgeTimes = 2.0
+	surgeTime  = 250 * time.Millisecond
 	leastPart  = 0.5 // requests a second, so that a team with small demand at a host is not cut off
 )
 
@@ -64,6 +69,7 @@
 	mut   sync.Mutex
 	teams map[string]*bucket
 	last  time.Time
+	surge bool // since the last report
 }
 
 // New returns a meter without teams.
@@ -110,6 +116,9 @@
 		return true, 0
 	}
 	buc.asked++
+	if float64(buc.asked) > surgeLeast+surgeTimes*buc.demand*surgeTime.Seconds() {
+		met.surge = true
+	}
 	buc.tokens = min(buc.tokens+buc.part*max(now.Sub(buc.filled).Seconds(), 0), buc.depth())
 	buc.filled = now
 	if buc.tokens < 1 {
@@ -119,12 +128,19 @@
 	return true, 0
 }
 
+// Surge says whether a team has asked for far more than usual since the last report.
+func (met *Meter) Surge() bool {
+	met.mut.Lock()
+	defer met.mut.Unlock()
+	return met.surge
+}
+
 // Report returns the smoothed demand of the teams that asked for something lately, and starts the next interval.
 func (met *Meter) Report(now time.Time) []Usage {
 	met.mut.Lock()
 	defer met.mut.Unlock()
 	passed := now.Sub(met.last)
-	met.last = now
+	met.last, met.surge = now, false
 	if passed <= 0 || passed > reportLife {
 		passed = demandTime
 	}
--- /dev/null
+++ b/core/state/stage/stage_test.go
@@ -0,0 +1,288 @@
+package stage_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"amaranthline/core/state/stage"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+const target = time.Second
+
+func root(rank int, class string, now time.Time) *stage.Call {
+	return stage.NewCall(stage.Spec{Class: class, Root: true, Rank: rank, Target: target, Deadline: now.Add(5 * time.Second)})
+}
+
+func nested(rank int, now time.Time, name string) *stage.Call {
+	return stage.NewCall(stage.Spec{Class: "root", Rank: rank, Target: target, Deadline: now.Add(5 * time.Second), Value: name})
+}
+
+// fill takes all places with nested calls.
+func fill(t *testing.T, sta *stage.Stage, now time.Time) []*stage.Call {
+	t.Helper()
+	var out []*stage.Call
+	for sta.Busy() < sta.Slots() {
+		cal := nested(0, now, "")
+		if ver := sta.Arrive(now, cal); ver != stage.Run {
+			t.Fatalf("call %d of %d got %v", len(out), sta.Slots(), ver)
+		}
+		out = append(out, cal)
+	}
+	return out
+}
+
+// An upstream that is full must get no further call, because some never answer beyond their queue.
+func TestPlaces(t *testing.T) {
+	sta := stage.New(35)
+	if sta.Slots() > 33 {
+		t.Errorf("%d of 35 slots are used; connections and health checks take slots too", sta.Slots())
+	}
+	fill(t, sta, start)
+	if ver := sta.Arrive(start, nested(0, start, "")); ver != stage.Wait {
+		t.Errorf("a call beyond the places got %v", ver)
+	}
+}
+
+// Load pattern: a full upstream with calls of begun roots and new roots waiting. Turning away a begun root throws its
+// work away, so a new root is refused first; and important calls wait shorter.
+func TestBegunBeforeNew(t *testing.T) {
+	sta := stage.New(4)
+	held := fill(t, sta, start)
+	for i := range 20 {
+		name := []string{"low", "high"}[i%2]
+		if ver := sta.Arrive(start, nested(2-2*(i%2), start, name)); ver != stage.Wait {
+			t.Fatalf("nested call %d got %v", i, ver)
+		}
+	}
+	if ver := sta.Arrive(start, root(0, "confirm", start)); ver != stage.Full {
+		t.Errorf("a new root behind %d calls got %v, want full", sta.Waiting(), ver)
+	}
+	var order []string
+	now := start
+	for len(held) > 0 && len(order) < 20 {
+		now = now.Add(10 * time.Millisecond)
+		sta.Leave(now, held[0], 50*time.Millisecond, stage.Answered)
+		held = held[1:]
+		granted, late := sta.Grants(now)
+		if len(late) > 0 {
+			t.Fatalf("%d calls were dropped", len(late))
+		}
+		for _, cal := range granted {
+			order = append(order, cal.Value().(string))
+			held = append(held, cal)
+		}
+	}
+	want := append(slices.Repeat([]string{"high"}, 10), slices.Repeat([]string{"low"}, 10)...)
+	if diff := cmp.Diff(want, order); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A call whose deadline leaves less than the upstream needs must not take a place, whether it arrives or waits.
+func TestLate(t *testing.T) {
+	sta := stage.New(4)
+	held := fill(t, sta, start)
+	short := stage.NewCall(stage.Spec{Deadline: start.Add(20 * time.Millisecond)})
+	if ver := sta.Arrive(start, short); ver != stage.Late {
+		t.Errorf("a call with 20 ms left got %v", ver)
+	}
+	waits := stage.NewCall(stage.Spec{Deadline: start.Add(200 * time.Millisecond)})
+	if ver := sta.Arrive(start, waits); ver != stage.Wait {
+		t.Fatalf("a call with 200 ms left got %v", ver)
+	}
+	later := start.Add(190 * time.Millisecond)
+	sta.Leave(later, held[0], 190*time.Millisecond, stage.Answered)
+	if granted, late := sta.Grants(later); len(granted) != 0 || len(late) != 1 {
+		t.Errorf("%d calls were granted and %d dropped, want 0 and 1", len(granted), len(late))
+	}
+}
+
+// Load pattern: a cold return, when all entries send at once. In no second may the upstream get more than half above
+// the declared rate; it crashes beyond that.
+func TestColdRate(t *testing.T) {
+	const rate = 16.0
+	sta := stage.New(100)
+	until := start.Add(3 * time.Second)
+	sta.SetCold(until, rate)
+	var sent []time.Time
+	for now := start; now.Before(until); now = now.Add(5 * time.Millisecond) {
+		cal := nested(0, now, "")
+		if sta.Arrive(now, cal) == stage.Run {
+			sent = append(sent, now)
+			sta.Leave(now, cal, time.Millisecond, stage.Answered)
+		}
+		granted, _ := sta.Grants(now)
+		for _, cal := range granted {
+			sent = append(sent, now)
+			sta.Leave(now, cal, time.Millisecond, stage.Answered)
+		}
+	}
+	for i, first := range sent {
+		count := 0
+		for _, when := range sent[i:] {
+			if when.Sub(first) < time.Second {
+				count++
+			}
+		}
+		if float64(count) > 1.5*rate {
+			t.Fatalf("%d requests in the second from %v", count, first.Sub(start))
+		}
+	}
+	if float64(len(sent)) < 2.5*rate {
+		t.Errorf("%d requests in 3 s use less than the upstream bears", len(sent))
+	}
+	if ver := sta.Arrive(until, nested(0, until, "")); ver != stage.Run && ver != stage.Wait {
+		t.Errorf("after the cold time a call got %v", ver)
+	}
+}
+
+// event ends a root in the replay below.
+type event struct {
+	at   time.Time
+	cal  *stage.Call
+	born time.Time
+}
+
+type events []event
+
+func (eve events) Len() int           { return len(eve) }
+func (eve events) Less(i, j int) bool { return eve[i].at.Before(eve[j].at) }
+func (eve events) Swap(i, j int)      { eve[i], eve[j] = eve[j], eve[i] }
+func (eve *events) Push(item any)     { *eve = append(*eve, item.(event)) }
+
+func (eve *events) Pop() any {
+	old := *eve
+	last := old[len(old)-1]
+	*eve = old[:len(old)-1]
+	return last
+}
+
+// below is a service deep in the chain that serves the roots of a host one after the other at a rate.
+type below struct {
+	free time.Time
+	rate float64
+}
+
+// finish returns when a root that starts now has its answer: its own work and its turn below.
+func (bel *below) finish(now time.Time) time.Time {
+	ready := now.Add(300 * time.Millisecond)
+	bel.free = maxTime(bel.free, ready).Add(time.Duration(float64(time.Second) / bel.rate))
+	return bel.free
+}
+
+func maxTime(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// replay sends roots at a rate to a host whose service below slows down after 5 s, and returns the share of what that
+// service can do that was answered within the target, from 7 s to the end.
+func replay(admit func(*stage.Stage, time.Time, *stage.Call) bool, arrivals, before, after float64) float64 {
+	rng := rand.New(rand.NewPCG(1, 2))
+	sta := stage.New(200)
+	bel := &below{rate: before}
+	var ends events
+	good := 0
+	end := start.Add(20 * time.Second)
+	for now := start; now.Before(end); now = now.Add(time.Duration(rng.ExpFloat64() / arrivals * float64(time.Second))) {
+		if now.Sub(start) > 5*time.Second {
+			bel.rate = after
+		}
+		for len(ends) > 0 && !ends[0].at.After(now) {
+			eve := heap.Pop(&ends).(event)
+			took := eve.at.Sub(eve.born)
+			res := stage.Answered
+			if took > target {
+				res = stage.Failed // its caller has given up
+			} else if eve.at.Sub(start) > 7*time.Second {
+				good++
+			}
+			sta.Leave(eve.at, eve.cal, min(took, target), res)
+		}
+		cal := root(1, "read", now)
+		if admit(sta, now, cal) {
+			heap.Push(&ends, event{at: bel.finish(now), cal: cal, born: now})
+		}
+	}
+	return float64(good) / (13 * after)
+}
+
+// Load pattern: a slow deep service. All roots of a host need it; without a window each of them waits longer than its
+// target and none is answered in time, though the service works at its full rate.
+func TestSlowServiceBelow(t *testing.T) {
+	naive := replay(func(*stage.Stage, time.Time, *stage.Call) bool { return true }, 100, 120, 50)
+	ours := replay(func(sta *stage.Stage, now time.Time, cal *stage.Call) bool {
+		return sta.Arrive(now, cal) == stage.Run
+	}, 100, 120, 50)
+	t.Logf("answered in time of what the slow service can do: %.2f without a window, %.2f with it", naive, ours)
+	if naive > 0.1 {
+		t.Errorf("the load pattern does not hurt: %.2f without a window", naive)
+	}
+	if ours < 0.9 {
+		t.Errorf("%.2f is answered in time, want 0.9 and more", ours)
+	}
+}
+
+// A load that fits must not be refused by the window of the first rank because its arrivals are random.
+func TestFirstRankFits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	sta := stage.New(100)
+	var ends events
+	asked, refused := 0, 0
+	end := start.Add(30 * time.Second)
+	for now := start; now.Before(end); now = now.Add(time.Duration(rng.ExpFloat64() / 30 * float64(time.Second))) {
+		for len(ends) > 0 && !ends[0].at.After(now) {
+			eve := heap.Pop(&ends).(event)
+			sta.Leave(eve.at, eve.cal, eve.at.Sub(eve.born), stage.Answered)
+		}
+		cal := root(0, "confirm", now)
+		asked++
+		if sta.Arrive(now, cal) == stage.Run {
+			took := 400*time.Millisecond + time.Duration(rng.Float64()*300)*time.Millisecond
+			heap.Push(&ends, event{at: now.Add(took), cal: cal, born: now})
+		} else {
+			refused++
+		}
+	}
+	if share := float64(refused) / float64(asked); share > 0.01 {
+		t.Errorf("%.1f%% of a load that fits was refused, want at most 1%%", 100*share)
+	}
+}
+
+// While all roots fail below, only a few may be tried: each one costs work. Once they are answered again, the window
+// opens.
+func TestFailuresNarrowWindow(t *testing.T) {
+	sta := stage.New(100)
+	now := start
+	run := func(res stage.Result) {
+		cal := root(1, "read", now)
+		if sta.Arrive(now, cal) == stage.Run {
+			sta.Leave(now.Add(100*time.Millisecond), cal, 100*time.Millisecond, res)
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	for range 100 {
+		run(stage.Answered)
+	}
+	open, _ := sta.Window(now, "read")
+	for range 100 {
+		run(stage.Failed)
+	}
+	narrow, _ := sta.Window(now, "read")
+	for range 100 {
+		run(stage.Answered)
+	}
+	again, _ := sta.Window(now, "read")
+	if narrow > 2 || again < open/2 {
+		t.Errorf("windows of %d, %d and %d roots before, during and after failures", open, narrow, again)
+	}
+}
