--- /dev/null
+++ b/core/coordination/relay/relay_test.go
@@ -0,0 +1,435 @@
+package relay_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/core/coordination/relay"
+	"amaranthline/core/state/decl"
+
+	"google.golang.org/protobuf/proto"
+)
+
+type object map[string]any
+
+const (
+	ownHost = "10.0.0.1"
+	secret  = "verona-key"
+)
+
+// snapshot declares a service "orders" on this host and two others, and a service "stock" on two hosts.
+func snapshot(t *testing.T, version int, revoked, out bool) *decl.Snapshot {
+	t.Helper()
+	sum := sha256.Sum256([]byte(secret))
+	keys := []object{{"id": "verona-1", "team": "verona", "sha256": hex.EncodeToString(sum[:])}}
+	if revoked {
+		keys = []object{}
+	}
+	state := "in"
+	if out {
+		state = "out"
+	}
+	class := func(name string, priority int) object {
+		return object{"name": name, "priority": priority, "target": object{"answered": 0.99, "within": "1s"}}
+	}
+	entry := func(name, prefix, service string, idempotent bool) object {
+		return object{
+			"name": name, "host": "shop.example", "prefix": prefix, "class": name, "idempotent": idempotent, "attempts": 2,
+			"timeout": "800ms", "services": []object{{"name": service, "weight": 1}},
+		}
+	}
+	dec, err := decl.Decode(encode(t, object{
+		"version": version, "classes": []object{class("confirm", 0), class("read", 2), class("lookup", 2)},
+		"services": []object{{"name": "orders", "routes": []object{}}, {"name": "stock", "routes": []object{}}},
+		"teams":    []object{{"name": "verona", "rate": 1000, "burst": 1000}}, "keys": keys,
+		"domains": []object{{"name": "a", "region": "r", "state": state}, {"name": "b", "region": "r", "state": "in"}},
+		"entries": []object{
+			entry("confirm", "/confirm/", "orders", false), entry("read", "/read/", "orders", true),
+			entry("lookup", "/stock/", "stock", true),
+		},
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := func(id, domain, service string) object {
+		return object{"id": id, "domain": domain, "service": service, "peer": id + ":7000", "state": "live", "slots": 20, "instance": "i-" + id}
+	}
+	lst, err := decl.DecodeHosts(encode(t, object{"version": version, "hosts": []object{
+		host(ownHost, "a", "orders"), host("10.0.0.2", "b", "orders"), host("10.0.0.3", "b", "orders"),
+		host("10.0.0.4", "a", "stock"), host("10.0.0.5", "b", "stock"),
+	}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return decl.NewSnapshot(dec, lst)
+}
+
+func encode(t *testing.T, obj object) []byte {
+	t.Helper()
+	data, err := json.Marshal(obj)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// world is what surrounds the relay under test.
+type world struct {
+	mut      sync.Mutex
+	sna      *decl.Snapshot
+	forward  func(ctx context.Context, host string, call *core.Call) (*core.Answer, error)
+	upstream func(ctx context.Context, call *core.Call) (*core.Answer, error)
+	sent     []string // hosts of forwarded calls
+}
+
+func (wor *world) Forward(ctx context.Context, host string, call *core.Call) (*core.Answer, error) {
+	wor.mut.Lock()
+	wor.sent = append(wor.sent, host)
+	wor.mut.Unlock()
+	return wor.forward(ctx, host, call)
+}
+
+func (wor *world) hosts() []string {
+	wor.mut.Lock()
+	defer wor.mut.Unlock()
+	return append([]string(nil), wor.sent...)
+}
+
+func (*world) Exchange(context.Context, string, proto.Message) (proto.Message, error) {
+	return nil, errors.New("no peer")
+}
+func (*world) SetPeers(map[string]string, []string)                {}
+func (*world) State(string) core.PeerState                         { return core.PeerState{} }
+func (*world) Expect(string)                                       {}
+func (*world) Served(string, string, bool, time.Duration)          {}
+func (*world) Refused(core.Reason, string, string)                 {}
+func (*world) Retried(string)                                      {}
+func (*world) Note(string, string, map[string]any)                 {}
+func (*world) Health(context.Context, string) (core.Health, error) { return core.Health{}, nil }
+
+func (wor *world) Do(ctx context.Context, call *core.Call, _ string) (*core.Answer, error) {
+	return wor.upstream(ctx, call)
+}
+
+func newRelay(t *testing.T, wor *world) *relay.Relay {
+	t.Helper()
+	if wor.sna == nil {
+		wor.sna = snapshot(t, 5, false, false)
+	}
+	rel := relay.New(relay.Settings{
+		Host: ownHost, Domain: "a", Service: "orders", Peers: wor, Upstream: wor, Observer: wor, Notes: wor,
+		Snapshot: func() *decl.Snapshot { return wor.sna }, Random: rand.New(rand.NewPCG(1, 2)), RetryShare: 10,
+	})
+	rel.Update(wor.sna)
+	return rel
+}
+
+func answer(status int, text string, fee core.Feedback) *core.Answer {
+	return core.NewAnswer(status, http.Header{}, io.NopCloser(strings.NewReader(text)), func() core.Feedback { return fee })
+}
+
+func ok() (*core.Answer, error) { return answer(http.StatusOK, "whole", core.Feedback{}), nil }
+
+func request(path, id, key string) *core.Request {
+	return core.NewRequest(core.RequestSpec{
+		Method: http.MethodGet, Path: path, Authority: "shop.example", ID: id, Key: key, Timeout: 5 * time.Second,
+	})
+}
+
+// served waits for the time in which a new relay asks its upstream for its health.
+func served() { time.Sleep(1100 * time.Millisecond) }
+
+func check(t *testing.T, err error, reason core.Reason, out core.Outcome) *core.Refusal {
+	t.Helper()
+	if err == nil {
+		t.Fatalf("the request was answered, want %s", reason)
+	}
+	ref := core.AsRefusal(err)
+	if ref.Reason() != reason || ref.Outcome() != out {
+		t.Errorf("got %s with outcome %v, want %s with %v: %v", ref.Reason(), ref.Outcome(), reason, out, err)
+	}
+	return ref
+}
+
+// Whether a request is sent once more must follow from what is known about the first attempt: a non-idempotent one
+// that may have run never is, and one that has not run always may be.
+func TestAttempts(t *testing.T) {
+	unknown := core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
+	full := core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "full")
+	tests := []struct {
+		name    string
+		path    string
+		first   error
+		sent    int
+		reason  core.Reason // of the refusal, or "" for an answer
+		outcome core.Outcome
+	}{
+		{"idempotent that may have run", "/stock/1", unknown, 2, "", 0},
+		{"idempotent that has not run", "/stock/1", full, 2, "", 0},
+		{"unknown host", "/stock/1", core.NewRefusal(core.ReasonPeerFailed, core.OutcomeNotRun, "cut"), 2, "", 0},
+		{"key revoked beside the upstream", "/stock/1", core.NewRefusal(core.ReasonKeyUnknown, core.OutcomeNotRun, "revoked"), 1,
+			core.ReasonKeyUnknown, core.OutcomeNotRun},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			first := true
+			wor := &world{}
+			wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+				if first {
+					first = false
+					return nil, tst.first
+				}
+				return ok()
+			}
+			_, err := newRelay(t, wor).Enter(t.Context(), request(tst.path, "r1", secret))
+			if got := len(wor.hosts()); got != tst.sent {
+				t.Errorf("%d attempts were made, want %d", got, tst.sent)
+			}
+			if tst.reason != "" {
+				check(t, err, tst.reason, tst.outcome)
+			} else if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A non-idempotent request whose outcome is unknown must go to no second host, and must not be called "not run".
+func TestUnsafeIsNotRepeated(t *testing.T) {
+	wor := &world{sna: snapshot(t, 5, false, false)}
+	wor.upstream = func(context.Context, *core.Call) (*core.Answer, error) {
+		return nil, core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
+	}
+	wor.forward = func(_ context.Context, _ string, call *core.Call) (*core.Answer, error) {
+		if call.Idempotent() {
+			t.Error("the call is marked idempotent")
+		}
+		return nil, core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
+	}
+	rel := newRelay(t, wor)
+	rel.Leave() // keeps the request from this host
+	_, err := rel.Enter(t.Context(), request("/confirm/1", "r1", secret))
+	check(t, err, core.ReasonUpstreamFailed, core.OutcomeUnknown)
+	if got := len(wor.hosts()); got != 1 {
+		t.Errorf("%d attempts were made, want 1", got)
+	}
+}
+
+// A request that no host took is refused at once, as not run, with a time to come back that leaves its target.
+func TestRefusalIsEarlyAndTrue(t *testing.T) {
+	wor := &world{}
+	wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+		return nil, core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "full")
+	}
+	began := time.Now()
+	_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", "r1", secret))
+	ref := check(t, err, core.ReasonOverload, core.OutcomeNotRun)
+	if took := time.Since(began); took > 100*time.Millisecond {
+		t.Errorf("the refusal took %v", took)
+	}
+	if ref.RetryAfter() <= 0 || ref.RetryAfter() > 400*time.Millisecond {
+		t.Errorf("the caller may come back after %v; the target is 800 ms", ref.RetryAfter())
+	}
+	if got := len(wor.hosts()); got != 2 {
+		t.Errorf("%d hosts were asked, want both", got)
+	}
+}
+
+// An answer that never comes must cost an idempotent request one more attempt, not its deadline.
+func TestLostAnswerIsHedged(t *testing.T) {
+	var lost atomic.Bool
+	wor := &world{}
+	wor.forward = func(ctx context.Context, _ string, _ *core.Call) (*core.Answer, error) {
+		if lost.Swap(false) {
+			<-ctx.Done()
+			return nil, core.AsRefusal(ctx.Err())
+		}
+		return ok()
+	}
+	rel := newRelay(t, wor)
+	for i := range 50 {
+		if _, err := rel.Enter(t.Context(), request("/stock/1", fmt.Sprint(i), secret)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	lost.Store(true)
+	began := time.Now()
+	if _, err := rel.Enter(t.Context(), request("/stock/1", "lost", secret)); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 400*time.Millisecond {
+		t.Errorf("the answer took %v", took)
+	}
+}
+
+// The route's timeout must be answered on time, however long the caller would wait.
+func TestTimeout(t *testing.T) {
+	wor := &world{}
+	wor.forward = func(ctx context.Context, _ string, _ *core.Call) (*core.Answer, error) {
+		<-ctx.Done()
+		return nil, core.NewRefusal(core.ReasonDeadline, core.OutcomeUnknown, "no answer")
+	}
+	began := time.Now()
+	_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", "r1", secret))
+	check(t, err, core.ReasonDeadline, core.OutcomeUnknown)
+	if took := time.Since(began); took < 700*time.Millisecond || took > time.Second {
+		t.Errorf("the answer took %v, the timeout is 800 ms", took)
+	}
+}
+
+// Callers are told apart by their keys only; an identifier must not stand for one.
+func TestIdentity(t *testing.T) {
+	tests := []struct {
+		name, id, key string
+		reason        core.Reason
+	}{
+		{"no key", "r1", "", core.ReasonKeyMissing},
+		{"wrong key", "r1", "stolen", core.ReasonKeyUnknown},
+		{"identifier of a call that does not run", "r1.c1", "", core.ReasonOrphan},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			wor := &world{forward: func(context.Context, string, *core.Call) (*core.Answer, error) { return ok() }}
+			_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", tst.id, tst.key))
+			check(t, err, tst.reason, core.OutcomeNotRun)
+		})
+	}
+}
+
+// A call of the own upstream goes on for the root that it serves: rank, team and deadline come from the running call,
+// also after the root's key has been revoked.
+func TestNestedCall(t *testing.T) {
+	wor := &world{sna: snapshot(t, 5, false, false)}
+	var got *core.Call
+	wor.forward = func(_ context.Context, _ string, call *core.Call) (*core.Answer, error) {
+		got = call
+		return ok()
+	}
+	var rel *relay.Relay
+	wor.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+		wor.sna = snapshot(t, 6, true, false)
+		ans, err := rel.Enter(ctx, request("/stock/1", call.CallID()+".c1", ""))
+		if err != nil {
+			return nil, err
+		}
+		return ans, ans.Body().Close()
+	}
+	rel = newRelay(t, wor)
+	served()
+	root := core.NewRoot(core.RootSpec{Team: "verona", KeyID: "verona-1", Class: "confirm", Deadline: time.Now().Add(500 * time.Millisecond)})
+	ans, err := rel.Serve(t.Context(), core.NewCall(core.CallSpec{
+		Root: root, Service: "orders", Method: http.MethodPost, Path: "/confirm/1", ID: "r1", Target: time.Second, Version: 5,
+		Keyed: true, EntryRank: 0,
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ans.Body().Close()
+	if got.Team() != "verona" || got.Class() != "confirm" || got.EntryRank() != 0 || got.Depth() != 1 || got.Keyed() {
+		t.Errorf("nested call for team %q, class %q, rank %d, depth %d, keyed %v", got.Team(), got.Class(), got.EntryRank(), got.Depth(), got.Keyed())
+	}
+	if got.Deadline().After(root.Deadline()) {
+		t.Error("the nested call outlives its root")
+	}
+}
+
+// The node beside the upstream must refuse what the entry could not know: a revoked key, an evacuation, another service.
+func TestChecksBesideUpstream(t *testing.T) {
+	call := func(service string, version uint64) *core.Call {
+		return core.NewCall(core.CallSpec{
+			Root:    core.NewRoot(core.RootSpec{Team: "verona", KeyID: "verona-1", Class: "read", Deadline: time.Now().Add(time.Minute)}),
+			Service: service, ID: "r1", Keyed: true, Version: version, Target: time.Second,
+		})
+	}
+	tests := []struct {
+		name    string
+		sna     *decl.Snapshot
+		service string
+		version uint64
+		reason  core.Reason
+	}{
+		{"accepted", snapshot(t, 5, false, false), "orders", 5, ""},
+		{"key revoked since", snapshot(t, 6, true, false), "orders", 5, core.ReasonKeyUnknown},
+		{"key newer than this node's declarations", snapshot(t, 4, true, false), "orders", 5, ""},
+		{"domain taken out", snapshot(t, 6, false, true), "orders", 5, core.ReasonDomainOut},
+		{"another service had the address", snapshot(t, 5, false, false), "stock", 5, core.ReasonNoUpstream},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			ran := false
+			wor := &world{sna: tst.sna}
+			wor.upstream = func(context.Context, *core.Call) (*core.Answer, error) {
+				ran = true
+				return ok()
+			}
+			rel := newRelay(t, wor)
+			served()
+			ans, err := rel.Serve(t.Context(), call(tst.service, tst.version))
+			if tst.reason == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = ans.Body().Close()
+				return
+			}
+			check(t, err, tst.reason, core.OutcomeNotRun)
+			if ran {
+				t.Error("the refused call ran")
+			}
+		})
+	}
+}
+
+// A call that waits for its place must leave the queue when its caller goes, and then has not run.
+func TestCallerGoesWhileWaiting(t *testing.T) {
+	release := make(chan struct{})
+	wor := &world{}
+	wor.upstream = func(context.Context, *core.Call) (*core.Answer, error) {
+		<-release
+		return ok()
+	}
+	rel := newRelay(t, wor)
+	served()
+	root := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
+	call := func(id string) *core.Call {
+		return core.NewCall(core.CallSpec{Root: root, Service: "orders", ID: id, Depth: 1, Target: time.Second})
+	}
+	slots, _, _ := rel.Places()
+	var grp sync.WaitGroup
+	for i := range slots {
+		grp.Go(func() {
+			if ans, err := rel.Serve(t.Context(), call(fmt.Sprint(i))); err == nil {
+				_ = ans.Body().Close()
+			}
+		})
+	}
+	for _, busy, _ := rel.Places(); busy < slots; _, busy, _ = rel.Places() {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := rel.Serve(ctx, call("gone"))
+	check(t, err, core.ReasonCancelled, core.OutcomeNotRun)
+	if _, _, waiting := rel.Places(); waiting != 0 {
+		t.Errorf("%d calls still wait", waiting)
+	}
+	close(release)
+	grp.Wait()
+	if _, busy, _ := rel.Places(); busy != 0 {
+		t.Errorf("%d places were not given back", busy)
+	}
+}
