Reload settings on SIGHUP and when their file changes

Cause: SIGHUP ended the process, and a changed settings file was read at the next start only. Change: the file is read again at SIGHUP and when its content has changed; store address, grace time and share of retries take effect at once, other changes are logged as needing a restart, and a bad file leaves the old settings in force with a logged line. Ruled out: reading only the changed fields; the same parser checks both. Before: not handled.

--- a/cmd/amaranthline/main.go
+++ b/cmd/amaranthline/main.go
@@ -153,17 +153,28 @@
 	return demo.Run(ctx, out, time.Duration(cmd.Seconds)*time.Second)
 }
 
-func main() {
-	var cmds commands
+// newParser returns the parser of the command line. A settings file, if there is one, gives values to flags that the
+// command line and the environment leave out.
+func newParser(cmds *commands) (*kong.Kong, error) {
 	options := []kong.Option{
 		kong.Name("amaranthline"), kong.Description("Overload control for call graphs of services."), kong.UsageOnError(),
 	}
-	if path := os.Getenv(settingsVariable); path != "" {
+	path := os.Getenv(settingsVariable)
+	if path != "" {
 		options = append(options, kong.Configuration(kong.JSON, path))
 	}
-	parser, err := kong.New(&cmds, options...)
+	parser, err := kong.New(cmds, options...)
+	if err != nil {
+		return nil, fmt.Errorf("settings file %s: %w; correct it and start again", path, err)
+	}
+	return parser, nil
+}
+
+func main() {
+	var cmds commands
+	parser, err := newParser(&cmds)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "settings file %s: %v; correct it and start again\n", os.Getenv(settingsVariable), err)
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
 	kctx, err := parser.Parse(os.Args[1:])
--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"amaranthline/io/side"
@@ -26,6 +29,8 @@
 	stopEarly = 300 * time.Millisecond
 	// retryPart is the part of the allowed share of retries that nodes use; callers' clocks and windows differ.
 	retryPart = 0.7
+	// settingsInterval is how often the settings file is read; it may change without a signal.
+	settingsInterval = time.Second
 )
 
 type sidecarCommand struct {
@@ -74,7 +79,7 @@
 		return err
 	}
 	source := platform.New(platform.Settings{
-		Address: strings.TrimPrefix(cmd.Store, "http://"), Zones: cmd.Domains, PeerPort: peer.Port(), Notes: notes,
+		Address: cmd.storeAddress(), Zones: cmd.Domains, PeerPort: peer.Port(), Notes: notes,
 	})
 	nod, err := side.New(set, side.Adapter{
 		Source: source, Callers: platform.Callers{}, Upstream: platform.Upstreams{},
@@ -82,5 +87,59 @@
 	if err != nil {
 		return err
 	}
+	go watchSettings(ctx, func() { reload(cmd, source, nod, log) })
 	return nod.Run(ctx)
 }
+
+// watchSettings calls a function at each SIGHUP and when the settings file has changed, until the context ends.
+func watchSettings(ctx context.Context, changed func()) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
+	path := os.Getenv(settingsVariable)
+	last, _ := os.ReadFile(path) // a file that cannot be read now is news once it can
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			changed()
+		case <-tick.C:
+			data, err := os.ReadFile(path)
+			if err == nil && !bytes.Equal(data, last) {
+				last = data
+				changed()
+			}
+		}
+	}
+}
+
+// reload takes the settings that can change while the node runs. With a bad file the old settings stay in force.
+func reload(old *sidecarCommand, source *platform.Source, nod *side.Node, log *logrus.Logger) {
+	var cmds commands
+	parser, err := newParser(&cmds)
+	if err == nil {
+		_, err = parser.Parse(os.Args[1:])
+	}
+	if err == nil {
+		set := cmds.Sidecar.settings()
+		err = set.Check()
+	}
+	if err != nil {
+		log.WithError(err).Error("settings not reloaded; the old ones stay in force")
+		return
+	}
+	cmd := &cmds.Sidecar
+	source.SetAddress(cmd.storeAddress())
+	nod.Reload(cmd.settings())
+	restart := cmd.Host != old.Host || cmd.Domain != old.Domain || cmd.Service != old.Service || cmd.Upstream != old.Upstream ||
+		cmd.Ingress != old.Ingress || cmd.Peer != old.Peer || cmd.Ready != old.Ready || cmd.Admin != old.Admin
+	log.WithFields(logrus.Fields{
+		"store": cmd.Store, "grace": cmd.Grace, "retry_share": cmd.RetryShare, "others_need_restart": restart,
+	}).Info("settings reloaded")
+}
+
+// storeAddress returns the store's address without the scheme.
+func (cmd *sidecarCommand) storeAddress() string { return strings.TrimPrefix(cmd.Store, "http://") }
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -60,9 +60,10 @@
 	draining atomic.Bool
 	rng      lockedRand
 
-	mut    sync.Mutex              // guards the fields below
-	ratios map[string]*retry.Ratio // by service
-	hedges map[string]*hedge.Timer // by entry
+	mut        sync.Mutex // guards the fields below
+	retryShare float64
+	ratios     map[string]*retry.Ratio // by service
+	hedges     map[string]*hedge.Timer // by entry
 }
 
 // New returns a relay.
@@ -71,7 +72,7 @@
 	rel := &Relay{
 		set: set, clock: clo, table: place.New(rand.New(rand.NewPCG(set.Random.Uint64(), set.Random.Uint64()))), //nolint:gosec // no secret
 		splitter: split.New(), meter: meter.New(), divider: meter.NewDivider(), lane: newLane(clo),
-		running: newRunning(), ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
+		running: newRunning(), retryShare: set.RetryShare, ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
 	}
 	rel.own = newOwn(set, clo, rel.lane)
 	return rel
--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -152,7 +152,7 @@
 // served waits for the time in which a new relay asks its upstream for its health.
 func served() { time.Sleep(1100 * time.Millisecond) }
 
-func check(t *testing.T, err error, reason core.Reason, out core.Outcome) *core.Refusal {
+func check(t *testing.T, err error, reason core.Reason, out core.Outcome) {
 	t.Helper()
 	if err == nil {
 		t.Fatalf("the request was answered, want %s", reason)
@@ -161,7 +161,6 @@
 	if ref.Reason() != reason || ref.Outcome() != out {
 		t.Errorf("got %s with outcome %v, want %s with %v: %v", ref.Reason(), ref.Outcome(), reason, out, err)
 	}
-	return ref
 }
 
 // Whether a request is sent once more must follow from what is known about the first attempt: a non-idempotent one
@@ -180,8 +179,10 @@
 		{"idempotent that may have run", "/stock/1", unknown, 2, "", 0},
 		{"idempotent that has not run", "/stock/1", full, 2, "", 0},
 		{"unknown host", "/stock/1", core.NewRefusal(core.ReasonPeerFailed, core.OutcomeNotRun, "cut"), 2, "", 0},
-		{"key revoked beside the upstream", "/stock/1", core.NewRefusal(core.ReasonKeyUnknown, core.OutcomeNotRun, "revoked"), 1,
-			core.ReasonKeyUnknown, core.OutcomeNotRun},
+		{
+			"key revoked beside the upstream", "/stock/1", core.NewRefusal(core.ReasonKeyUnknown, core.OutcomeNotRun, "revoked"), 1,
+			core.ReasonKeyUnknown, core.OutcomeNotRun,
+		},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
@@ -236,7 +237,8 @@
 	}
 	began := time.Now()
 	_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", "r1", secret))
-	ref := check(t, err, core.ReasonOverload, core.OutcomeNotRun)
+	check(t, err, core.ReasonOverload, core.OutcomeNotRun)
+	ref := core.AsRefusal(err)
 	if took := time.Since(began); took > 100*time.Millisecond {
 		t.Errorf("the refusal took %v", took)
 	}
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -211,12 +211,22 @@
 	defer rel.mut.Unlock()
 	rat := rel.ratios[service]
 	if rat == nil {
-		rat = retry.NewRatio(rel.set.RetryShare, 0)
+		rat = retry.NewRatio(rel.retryShare, 0)
 		rel.ratios[service] = rat
 	}
 	return rat
 }
 
+// SetRetryShare takes the share of retries for each service; the counts of the last seconds start again.
+func (rel *Relay) SetRetryShare(share float64) {
+	rel.mut.Lock()
+	defer rel.mut.Unlock()
+	if share != rel.retryShare {
+		rel.retryShare = share
+		clear(rel.ratios)
+	}
+}
+
 // choose returns the host of the next attempt.
 func (rel *Relay) choose(out *outgoing) (string, bool) {
 	if len(out.tried) >= maxHosts {
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -40,6 +40,7 @@
 // Node is one process beside an upstream.
 type Node struct {
 	set     Settings
+	drainBy atomic.Pointer[drainTimes]
 	log     *logrus.Logger
 	notes   *Notes
 	met     *metrics
@@ -53,6 +54,19 @@
 	leaving atomic.Bool
 }
 
+// drainTimes are the settings of a graceful shutdown that may change while the node runs.
+type drainTimes struct {
+	pause   time.Duration
+	timeout time.Duration
+}
+
+// Reload takes the settings that can change while the node runs: the times of a graceful shutdown and the share of
+// retries.
+func (nod *Node) Reload(set Settings) {
+	nod.drainBy.Store(&drainTimes{pause: set.DrainPause, timeout: set.DrainTimeout})
+	nod.relay.SetRetryShare(set.RetryShare)
+}
+
 // New checks the settings and assembles a node.
 func New(set Settings, ada Adapter, notes *Notes, log *logrus.Logger) (*Node, error) {
 	if err := set.Check(); err != nil {
@@ -77,6 +91,7 @@
 	})
 	nod.front = front.New(front.Settings{Entry: nod.relay, Observer: nod.met, Dialect: ada.Callers})
 	nod.met.watch(nod.relay)
+	nod.Reload(set)
 	return nod, nil
 }
 
@@ -258,13 +273,14 @@
 // drain stops without cutting a request: peers and callers learn first, then new calls are refused, then the port for
 // callers closes once what is in progress has ended. Calls that the own upstream makes need that port until then.
 func (nod *Node) drain(ingress *server) {
-	nod.log.WithField("pause", nod.set.DrainPause).Info("graceful shutdown started")
+	times := nod.drainBy.Load()
+	nod.log.WithField("pause", times.pause).Info("graceful shutdown started")
 	nod.leaving.Store(true)
 	nod.relay.Leave()
 	nod.front.Drain()
-	time.Sleep(nod.set.DrainPause)
+	time.Sleep(times.pause)
 	nod.relay.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), nod.set.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), times.timeout)
 	defer cancel()
 	if err := errors.Join(nod.mesh.Drain(ctx), ingress.Shutdown(ctx)); err != nil {
 		nod.log.WithError(err).Warn("graceful shutdown cut calls in progress; raise --drain-timeout")
