--- a/core/coordination/relay/own.go
+++ b/core/coordination/relay/own.go
@@ -33,7 +33,6 @@
 	coldAt   uint64 // newest observation of the list that the upstream is cold
 	health   string // path
 	coldRate float64
-	coldTime time.Duration
 	asking   bool      // a health check must succeed before calls are sent
 	since    time.Time // of asking
 	down     bool
@@ -48,7 +47,7 @@
 	ow.mut.Lock()
 	defer ow.mut.Unlock()
 	if ser := sna.Service(ow.set.Service); ser != nil {
-		ow.health, ow.coldRate, ow.coldTime = ser.Health(), ser.ColdRate(), ser.ColdTime()
+		ow.health, ow.coldRate = ser.Health(), ser.ColdRate()
 	}
 	dom := sna.Domain(ow.set.Domain)
 	out := dom != nil && dom.Out()
--- a/core/coordination/spread/spread_test.go
+++ b/core/coordination/spread/spread_test.go
@@ -364,3 +364,40 @@
 	}
 	return tra
 }
+
+// A node that is not on the host list is nobody's neighbour. It serves callers all the same, and must learn of a
+// change about as soon as the others: with one exchange a second it kept sending calls to an upstream that had left.
+func TestUnlistedNodesLearnSoon(t *testing.T) {
+	t.Parallel()
+	bubble(t, 20, 3, func(t *testing.T, fle *fleet) {
+		const bound = 500 * time.Millisecond
+		unlisted := []string{"h0017", "h0018", "h0019"}
+		fle.start(fle.ids...)
+		settle(10 * time.Second)
+		fle.publish(without(fle.hosts(2), unlisted))
+		settle(10 * time.Second)
+		for ver := uint64(2); ver <= 8; ver++ {
+			since := time.Now()
+			fle.publish(declarations(ver, 3))
+			settle(3*time.Second + time.Duration(ver)*130*time.Millisecond)
+			lags, missing := fle.lags(fmt.Sprint("declarations ", ver), since, func(id string) bool { return !slices.Contains(unlisted, id) })
+			if missing > 0 || lags[len(lags)-1] > bound {
+				t.Errorf("version %d: unlisted nodes have it after %v, %d do not", ver, lags, missing)
+			}
+		}
+	})
+}
+
+// without returns a host list without some hosts; each row of the list is a line.
+func without(doc core.Document, ids []string) core.Document {
+	lines := strings.Split(string(doc.Data()), "\n")
+	lines = slices.DeleteFunc(lines, func(line string) bool {
+		return slices.ContainsFunc(ids, func(id string) bool { return strings.Contains(line, fmt.Sprintf(`"id": %q`, id)) })
+	})
+	text := strings.Join(lines, "\n")
+	text = strings.Replace(text, ",]}", "]}", 1)
+	if !strings.HasSuffix(text, "]}") {
+		text = strings.TrimSuffix(strings.TrimSpace(text), ",") + "]}"
+	}
+	return core.NewDocument(doc.Name(), doc.Version(), []byte(text))
+}
--- a/core/state/split/split.go
+++ b/core/state/split/split.go
@@ -1,4 +1,3 @@
-// Package split divides the requests of an entry among its services by weight.
 package split
 
 import (
