Share metrics, HTTP ports and errors of settings between both kinds of nodes

Change: package io/base holds them; io/node keeps the collectors of Go and the process, which the platform's nodes leave out because they cost processor time at each scrape. Peer events have the same metric name in both. Ruled out: sharing Settings; the two kinds have different ones. Before: five pairs of six and more lines.

--- a/cmd/amaranthline/main.go
+++ b/cmd/amaranthline/main.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"amaranthline/core/state/decl"
+	"amaranthline/io/base"
 	"amaranthline/io/node"
-	"amaranthline/io/side"
 	"amaranthline/stand/demo"
 
 	"github.com/alecthomas/kong"
@@ -209,9 +209,8 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, err)
-	var set *node.SettingError
-	var sid *side.SettingError
-	if errors.As(err, &set) || errors.As(err, &sid) {
+	var set *base.SettingError
+	if errors.As(err, &set) {
 		return exitUsage
 	}
 	return exitFault
--- a/io/side/metrics.go
+++ b/io/base/metrics.go
@@ -1,22 +1,22 @@
-package side
+package base
 
 import (
+	"net/http"
 	"time"
 
 	"amaranthline/core"
-	"amaranthline/core/coordination/relay"
-	"amaranthline/io/transport/mesh"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 const metricPrefix = "amaranthline_"
 
 // latencyBuckets spans from the added latency of a hop to the longest usual deadline, in seconds.
-var latencyBuckets = []float64{.0005, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
 
-// metrics counts what the request path reports.
-type metrics struct {
+// Metrics counts what the request path reports; it implements core.Observer.
+type Metrics struct {
 	registry *prometheus.Registry
 	classes  *prometheus.HistogramVec
 	teams    *prometheus.HistogramVec
@@ -25,8 +25,9 @@
 	peers    *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
-	met := &metrics{
+// NewMetrics returns metrics without values.
+func NewMetrics() *Metrics {
+	met := &Metrics{
 		registry: prometheus.NewRegistry(),
 		classes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricPrefix + "class_latency_seconds", Help: "Time to a whole answer, by class.", Buckets: latencyBuckets,
@@ -48,22 +49,21 @@
 	return met
 }
 
-// watch registers gauges of the own upstream.
-func (met *metrics) watch(rel *relay.Relay) {
-	for _, gau := range []struct {
-		name, help string
-		read       func() int
-	}{
-		{"places", "Calls that the own upstream may run at once.", func() int { slots, _, _ := rel.Places(); return slots }},
-		{"busy", "Calls at the own upstream.", func() int { _, busy, _ := rel.Places(); return busy }},
-		{"waiting", "Calls waiting for the own upstream.", func() int { _, _, waiting := rel.Places(); return waiting }},
-	} {
-		met.registry.MustRegister(prometheus.NewGaugeFunc(
-			prometheus.GaugeOpts{Name: metricPrefix + gau.name, Help: gau.help}, func() float64 { return float64(gau.read()) }))
-	}
+// Gauge registers a value that is read when metrics are collected.
+func (met *Metrics) Gauge(name, help string, read func() float64) {
+	met.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: metricPrefix + name, Help: help}, read))
 }
 
-func (met *metrics) countPeers(eve mesh.Event) { met.peers.WithLabelValues(eve.String()).Inc() }
+// CountPeer counts an event of a connection to a peer.
+func (met *Metrics) CountPeer(event string) { met.peers.WithLabelValues(event).Inc() }
+
+// Register adds collectors of other parts.
+func (met *Metrics) Register(cols ...prometheus.Collector) { met.registry.MustRegister(cols...) }
+
+// Handler serves the metrics as text.
+func (met *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(met.registry, promhttp.HandlerOpts{})
+}
 
 func kindLabel(nested bool) string {
 	if nested {
@@ -73,16 +73,16 @@
 }
 
 // Served records a whole answer.
-func (met *metrics) Served(class, team string, nested bool, took time.Duration) {
+func (met *Metrics) Served(class, team string, nested bool, took time.Duration) {
 	kind := kindLabel(nested)
 	met.classes.WithLabelValues(class, kind).Observe(took.Seconds())
 	met.teams.WithLabelValues(team, kind).Observe(took.Seconds())
 }
 
 // Refused counts a refusal.
-func (met *metrics) Refused(reason core.Reason, class, team string) {
+func (met *Metrics) Refused(reason core.Reason, class, team string) {
 	met.refused.WithLabelValues(string(reason), class, team).Inc()
 }
 
 // Retried counts a further attempt.
-func (met *metrics) Retried(class string) { met.retried.WithLabelValues(class).Inc() }
+func (met *Metrics) Retried(class string) { met.retried.WithLabelValues(class).Inc() }
--- /dev/null
+++ b/io/base/server.go
@@ -0,0 +1,38 @@
+package base
+
+import (
+	"errors"
+	"net"
+	"net/http"
+)
+
+// Server is one HTTP port.
+type Server struct {
+	*http.Server
+	lis net.Listener
+}
+
+// Listen opens a port; the flag names the setting that gave the address.
+func Listen(flag, addr string, srv *http.Server) (*Server, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, Fault(flag, "cannot listen on "+addr+": "+err.Error(), "give a free address of this host")
+	}
+	return &Server{Server: srv, lis: lis}, nil
+}
+
+// Run serves until the server is closed.
+func (ser *Server) Run() error {
+	if err := ser.Serve(ser.lis); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// NoStore keeps answers for operators out of caches.
+func NoStore(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		wri.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(wri, req)
+	})
+}
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -7,9 +7,9 @@
 
 	"amaranthline/core/coordination/share"
 	"amaranthline/core/coordination/spread"
+	"amaranthline/io/base"
 
 	"github.com/justinas/alice"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Status is what a node believes, for operators.
@@ -58,18 +58,11 @@
 
 func (nod *Node) admin() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(nod.met.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", nod.met.Handler())
 	mux.HandleFunc("GET /healthz", func(wri http.ResponseWriter, _ *http.Request) { writeText(wri, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", nod.serveReady)
 	mux.HandleFunc("GET /status", nod.serveStatus)
-	return alice.New(noStore).Then(mux)
-}
-
-func noStore(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		wri.Header().Set("Cache-Control", "no-store")
-		next.ServeHTTP(wri, req)
-	})
+	return alice.New(base.NoStore).Then(mux)
 }
 
 func writeText(wri http.ResponseWriter, status int, text string) {
@@ -130,6 +123,6 @@
 		{"waiting", "Calls waiting for the own upstream.", func() float64 { return float64(nod.gate.Waiting()) }},
 	}
 	for _, gau := range gauges {
-		nod.met.gauge(gau.name, gau.help, gau.read)
+		nod.met.Gauge(gau.name, gau.help, gau.read)
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -23,11 +22,13 @@
 	"amaranthline/core/state/decl"
 	"amaranthline/core/state/dedup"
 	"amaranthline/core/state/limit"
+	"amaranthline/io/base"
 	"amaranthline/io/transport/back"
 	"amaranthline/io/transport/feed"
 	"amaranthline/io/transport/front"
 	"amaranthline/io/transport/mesh"
 
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -45,7 +46,7 @@
 type Node struct {
 	set     Settings
 	log     *logrus.Logger
-	met     *metrics
+	met     *base.Metrics
 	mesh    *mesh.Mesh
 	flow    *flow.Flow
 	gate    *gate.Gate
@@ -71,7 +72,7 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	nod := &Node{set: set, log: log, met: newMetrics()}
+	nod := &Node{set: set, log: log, met: base.NewMetrics()}
 	incarnation := uint64(time.Now().UnixNano())
 	if err := nod.assembleTransport(incarnation); err != nil {
 		return nil, err
@@ -79,6 +80,7 @@
 	if err := nod.assembleCoordination(incarnation); err != nil {
 		return nil, err
 	}
+	nod.met.Register(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	nod.registerGauges()
 	return nod, nil
 }
@@ -90,17 +92,11 @@
 	}
 	nod.mesh = mesh.New(mesh.Settings{
 		Host: nod.set.Host, Incarnation: incarnation, Listen: nod.set.Peer, Server: conf, Client: conf,
-		Handler: nod, Control: nod, Count: nod.countMesh(),
+		Handler: nod, Control: nod, Count: func(eve mesh.Event) { nod.met.CountPeer(eve.String()) },
 	})
 	return nil
 }
 
-// countMesh registers one counter for each event of peer connections.
-func (nod *Node) countMesh() func(mesh.Event) {
-	events := nod.met.events()
-	return func(eve mesh.Event) { events.WithLabelValues(eve.String()).Inc() }
-}
-
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) } //nolint:gosec // no secret
 
 func (nod *Node) assembleCoordination(incarnation uint64) error {
@@ -216,7 +212,7 @@
 	grp.Go(func() error { return nod.guard.Run(work) })
 	grp.Go(func() error { return nod.watchMembers(work) })
 	for _, ser := range servers {
-		grp.Go(ser.serve)
+		grp.Go(ser.Run)
 	}
 	nod.log.WithFields(logrus.Fields{"host": nod.set.Host, "domain": nod.set.Domain, "service": nod.set.Service}).Info("node started")
 	select {
@@ -234,20 +230,7 @@
 	return nil
 }
 
-// server is one HTTP port.
-type server struct {
-	*http.Server
-	lis net.Listener
-}
-
-func (ser *server) serve() error {
-	if err := ser.Serve(ser.lis); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-func (nod *Node) listen() ([]*server, error) {
+func (nod *Node) listen() ([]*base.Server, error) {
 	ports := []struct {
 		flag, addr string
 		server     *http.Server
@@ -256,13 +239,13 @@
 		{"nested", nod.set.Nested, nod.nested.Server()},
 		{"admin", nod.set.Admin, &http.Server{Handler: nod.admin(), ReadHeaderTimeout: shutdownTimeout}},
 	}
-	var out []*server
+	var out []*base.Server
 	for _, por := range ports {
-		lis, err := net.Listen("tcp", por.addr)
+		ser, err := base.Listen(por.flag, por.addr, por.server)
 		if err != nil {
-			return nil, fault(por.flag, "cannot listen on "+por.addr+": "+err.Error(), "give a free address of this host")
+			return nil, err
 		}
-		out = append(out, &server{Server: por.server, lis: lis})
+		out = append(out, ser)
 	}
 	return out, nil
 }
@@ -311,7 +294,7 @@
 
 // drain stops without cutting a request: peers and callers learn first, then new calls are
 // refused, then the ports close once what is in progress has ended.
-func (nod *Node) drain(servers []*server) {
+func (nod *Node) drain(servers []*base.Server) {
 	nod.log.WithField("pause", nod.set.DrainPause).Info("graceful shutdown started")
 	nod.ready.Store(false)
 	nod.flow.Leave()
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"amaranthline/io/base"
 )
 
 // Settings configures a node; Check reports what is wrong with them.
@@ -30,22 +32,6 @@
 	DrainPause   time.Duration // lame-duck time before listeners close
 }
 
-// SettingError names a setting, what is wrong with it and the remedy.
-type SettingError struct {
-	flag   string
-	detail string
-	remedy string
-}
-
-// Error returns the setting, the fault and the remedy.
-func (ser *SettingError) Error() string {
-	return fmt.Sprintf("--%s %s; %s", ser.flag, ser.detail, ser.remedy)
-}
-
-func fault(flag, detail, remedy string) error {
-	return &SettingError{flag: flag, detail: detail, remedy: remedy}
-}
-
 // Check returns the first fault of the settings.
 func (set *Settings) Check() error {
 	for _, err := range []error{
@@ -59,17 +45,18 @@
 }
 
 func (set *Settings) checkNames() error {
-	names := []struct{ flag, value string }{{"host", set.Host}, {"domain", set.Domain}, {"service", set.Service}}
-	for _, nam := range names {
-		if nam.value == "" || strings.ContainsAny(nam.value, "/ \t\n") {
-			return fault(nam.flag, fmt.Sprintf("is %q", nam.value), "give a non-empty name without slashes and spaces")
+	for _, err := range []error{
+		base.CheckName("host", set.Host), base.CheckName("domain", set.Domain), base.CheckName("service", set.Service),
+	} {
+		if err != nil {
+			return err
 		}
 	}
 	if set.Connections < 1 {
-		return fault("upstream-connections", fmt.Sprintf("is %d", set.Connections), "give at least 1")
+		return base.Fault("upstream-connections", fmt.Sprintf("is %d", set.Connections), "give at least 1")
 	}
 	if set.DrainTimeout <= 0 {
-		return fault("drain-timeout", fmt.Sprintf("is %s", set.DrainTimeout), "give a duration above zero")
+		return base.Fault("drain-timeout", fmt.Sprintf("is %s", set.DrainTimeout), "give a duration above zero")
 	}
 	return nil
 }
@@ -79,7 +66,7 @@
 		return err
 	}
 	if len(set.Platforms) == 0 {
-		return fault("platform", "is missing", "give at least one URL of the configuration service")
+		return base.Fault("platform", "is missing", "give at least one URL of the configuration service")
 	}
 	for _, raw := range set.Platforms {
 		if err := checkURL("platform", raw); err != nil {
@@ -92,36 +79,31 @@
 func checkURL(flag, raw string) error {
 	loc, err := url.Parse(raw)
 	if err != nil || (loc.Scheme != "http" && loc.Scheme != "https") || loc.Host == "" {
-		return fault(flag, fmt.Sprintf("is %q", raw), "give a URL such as http://127.0.0.1:8080")
+		return base.Fault(flag, fmt.Sprintf("is %q", raw), "give a URL such as http://127.0.0.1:8080")
 	}
 	return nil
 }
 
 func (set *Settings) checkAddresses() error {
-	addrs := []struct{ flag, value string }{
-		{"ingress", set.Ingress}, {"nested", set.Nested}, {"peer", set.Peer}, {"admin", set.Admin},
-	}
-	for _, add := range addrs {
-		if _, err := netip.ParseAddrPort(add.value); err != nil {
-			return fault(add.flag, fmt.Sprintf("is %q", add.value), "give a numeric IP address and port such as 127.0.0.1:7000")
+	for _, err := range []error{
+		base.CheckAddress("ingress", set.Ingress), base.CheckAddress("nested", set.Nested),
+		base.CheckAddress("peer", set.Peer), base.CheckAddress("admin", set.Admin),
+	} {
+		if err != nil {
+			return err
 		}
 	}
-	if !loopback(set.Nested) {
-		return fault("nested", fmt.Sprintf("is %q", set.Nested), "give a loopback address; only the own upstream may call it")
+	if !base.Loopback(set.Nested) {
+		return base.Fault("nested", fmt.Sprintf("is %q", set.Nested), "give a loopback address; only the own upstream may call it")
 	}
 	return nil
 }
 
-func loopback(addr string) bool {
-	apo, err := netip.ParseAddrPort(addr)
-	return err == nil && apo.Addr().Unmap().IsLoopback()
-}
-
 func (set *Settings) checkSeeds() error {
 	for _, seed := range set.Seeds {
 		host, addr, found := strings.Cut(seed, "=")
 		if _, err := netip.ParseAddrPort(addr); !found || host == "" || err != nil {
-			return fault("seed", fmt.Sprintf("is %q", seed), "give HOST=ADDRESS such as h1=10.0.0.1:7002")
+			return base.Fault("seed", fmt.Sprintf("is %q", seed), "give HOST=ADDRESS such as h1=10.0.0.1:7002")
 		}
 	}
 	return nil
@@ -129,8 +111,8 @@
 
 func (set *Settings) checkPeerSecurity() error {
 	given := set.TLSCert != "" || set.TLSKey != "" || set.TLSCA != ""
-	if !given && !loopback(set.Peer) {
-		return fault("peer", fmt.Sprintf("is %q without TLS", set.Peer),
+	if !given && !base.Loopback(set.Peer) {
+		return base.Fault("peer", fmt.Sprintf("is %q without TLS", set.Peer),
 			"set --tls-cert, --tls-ca and AMARANTHLINE_TLS_KEY, or listen on loopback")
 	}
 	if !given {
@@ -147,11 +129,11 @@
 	}
 	pair, err := tls.X509KeyPair([]byte(set.TLSCert), []byte(set.TLSKey))
 	if err != nil {
-		return nil, fault("tls-cert", "does not fit AMARANTHLINE_TLS_KEY", "give a PEM certificate and its PEM key")
+		return nil, base.Fault("tls-cert", "does not fit AMARANTHLINE_TLS_KEY", "give a PEM certificate and its PEM key")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM([]byte(set.TLSCA)) {
-		return nil, fault("tls-ca", "holds no certificate", "give the PEM certificates that sign the nodes' certificates")
+		return nil, base.Fault("tls-ca", "holds no certificate", "give the PEM certificates that sign the nodes' certificates")
 	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{pair}, RootCAs: pool, ClientCAs: pool,
--- a/io/side/admin.go
+++ b/io/side/admin.go
@@ -5,9 +5,9 @@
 	"net/http"
 
 	"amaranthline/core/coordination/spread"
+	"amaranthline/io/base"
 
 	"github.com/justinas/alice"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Status is what a node believes, for operators.
@@ -40,17 +40,10 @@
 
 func (nod *Node) admin() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(nod.met.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", nod.met.Handler())
 	mux.HandleFunc("GET /readyz", nod.serveReady)
 	mux.HandleFunc("GET /status", nod.serveStatus)
-	return alice.New(noStore).Then(mux)
-}
-
-func noStore(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		wri.Header().Set("Cache-Control", "no-store")
-		next.ServeHTTP(wri, req)
-	})
+	return alice.New(base.NoStore).Then(mux)
 }
 
 func (nod *Node) isReady() bool { return nod.ready.Load() && !nod.leaving.Load() }
@@ -87,3 +80,17 @@
 	}
 	return sta
 }
+
+// registerGauges lets the metrics show the state of the own upstream.
+func (nod *Node) registerGauges() {
+	for _, gau := range []struct {
+		name, help string
+		read       func() int
+	}{
+		{"places", "Calls that the own upstream may run at once.", func() int { slots, _, _ := nod.relay.Places(); return slots }},
+		{"busy", "Calls at the own upstream.", func() int { _, busy, _ := nod.relay.Places(); return busy }},
+		{"waiting", "Calls waiting for the own upstream.", func() int { _, _, waiting := nod.relay.Places(); return waiting }},
+	} {
+		nod.met.Gauge(gau.name, gau.help, func() float64 { return float64(gau.read()) })
+	}
+}
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"amaranthline/core/coordination/relay"
 	"amaranthline/core/coordination/spread"
 	"amaranthline/core/state/decl"
+	"amaranthline/io/base"
 	"amaranthline/io/transport/back"
 	"amaranthline/io/transport/front"
 	"amaranthline/io/transport/mesh"
@@ -43,7 +43,7 @@
 	drainBy atomic.Pointer[drainTimes]
 	log     *logrus.Logger
 	notes   *Notes
-	met     *metrics
+	met     *base.Metrics
 	mesh    *mesh.Mesh
 	spread  *spread.Spreader
 	relay   *relay.Relay
@@ -72,10 +72,10 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	nod := &Node{set: set, log: log, notes: notes, met: newMetrics()}
+	nod := &Node{set: set, log: log, notes: notes, met: base.NewMetrics()}
 	nod.mesh = mesh.New(mesh.Settings{
 		Host: set.Host, Incarnation: uint64(time.Now().UnixNano()), Listen: set.Peer, Insecure: set.InsecurePeers,
-		Handler: nod, Control: nod, Count: nod.met.countPeers,
+		Handler: nod, Control: nod, Count: func(eve mesh.Event) { nod.met.CountPeer(eve.String()) },
 	})
 	nod.back = back.New(back.Settings{
 		Base: set.Upstream, Connections: set.Connections, OnCrash: func() { nod.relay.Crashed() },
@@ -90,7 +90,7 @@
 		Snapshot: nod.spread.Snapshot, Observer: nod.met, Notes: notes, Random: newRand(), RetryShare: set.RetryShare,
 	})
 	nod.front = front.New(front.Settings{Entry: nod.relay, Observer: nod.met, Dialect: ada.Callers})
-	nod.met.watch(nod.relay)
+	nod.registerGauges()
 	nod.Reload(set)
 	return nod, nil
 }
@@ -196,7 +196,7 @@
 	grp.Go(func() error { nod.notes.Run(work); return nil })
 	grp.Go(func() error { nod.watchPeers(work); return nil })
 	for _, ser := range servers {
-		grp.Go(ser.serve)
+		grp.Go(ser.Run)
 	}
 	nod.log.WithFields(logrus.Fields{"host": nod.set.Host, "domain": nod.set.Domain, "service": nod.set.Service}).Info("node started")
 	select {
@@ -215,20 +215,7 @@
 	return nil
 }
 
-// server is one HTTP port.
-type server struct {
-	*http.Server
-	lis net.Listener
-}
-
-func (ser *server) serve() error {
-	if err := ser.Serve(ser.lis); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-func (nod *Node) listen() ([]*server, error) {
+func (nod *Node) listen() ([]*base.Server, error) {
 	ports := []struct {
 		flag, addr string
 		server     *http.Server
@@ -237,13 +224,13 @@
 		{"ready", nod.set.Ready, &http.Server{Handler: nod.admin(), ReadHeaderTimeout: headerTimeout}},
 		{"admin", nod.set.Admin, &http.Server{Handler: nod.admin(), ReadHeaderTimeout: headerTimeout}},
 	}
-	var out []*server
+	var out []*base.Server
 	for _, por := range ports {
-		lis, err := net.Listen("tcp", por.addr)
+		ser, err := base.Listen(por.flag, por.addr, por.server)
 		if err != nil {
-			return nil, fault(por.flag, "cannot listen on "+por.addr+": "+err.Error(), "give a free address of this host")
+			return nil, err
 		}
-		out = append(out, &server{Server: por.server, lis: lis})
+		out = append(out, ser)
 	}
 	return out, nil
 }
@@ -272,7 +259,7 @@
 
 // drain stops without cutting a request: peers and callers learn first, then new calls are refused, then the port for
 // callers closes once what is in progress has ended. Calls that the own upstream makes need that port until then.
-func (nod *Node) drain(ingress *server) {
+func (nod *Node) drain(ingress *base.Server) {
 	times := nod.drainBy.Load()
 	nod.log.WithField("pause", times.pause).Info("graceful shutdown started")
 	nod.leaving.Store(true)
