Call a request not run only if none of its attempts may have run

Cause: found in the read-through: after an attempt with unknown outcome, a later attempt that was refused made the answer 503, which promises that the request has not run. Only idempotent requests are sent again in that case. Ruled out: non-idempotent requests; they are never sent again after an unknown outcome (TestUnsafeIsNotRepeated). Change: an attempt that may have run decides the outcome. Before: TestNotRunIsTrueForAllAttempts (new) got overload, not run. After: upstream_failed, unknown; tests of the package green.

--- a/core/coordination/relay/race.go
+++ b/core/coordination/relay/race.go
@@ -112,10 +112,15 @@
 		return nil
 	}
 	fli.cancel()
-	rac.last = res.err
-	if !reached(core.AsRefusal(res.err)) {
+	ref := core.AsRefusal(res.err)
+	if !reached(ref) {
 		rac.out.arrived--
 	}
+	// The request has run if any of its attempts has, so an attempt that may have run decides the outcome.
+	undecided := rac.last == nil || core.AsRefusal(rac.last).Outcome() == core.OutcomeNotRun
+	if undecided || ref.Outcome() != core.OutcomeNotRun {
+		rac.last = res.err
+	}
 	return nil
 }
 
--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -435,3 +435,20 @@
 		t.Errorf("%d places were not given back", busy)
 	}
 }
+
+// When one attempt may have run, a later attempt that has not must not turn the answer into "not run".
+func TestNotRunIsTrueForAllAttempts(t *testing.T) {
+	var calls atomic.Int64
+	wor := &world{}
+	wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+		if calls.Add(1) == 1 {
+			return nil, core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
+		}
+		return nil, core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "full")
+	}
+	_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", "r1", secret))
+	check(t, err, core.ReasonUpstreamFailed, core.OutcomeUnknown)
+	if calls.Load() != 2 {
+		t.Errorf("%d attempts were made, want 2", calls.Load())
+	}
+}
