--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -27,8 +27,9 @@
 	drainShare = 0.5
 	// stopEarly keeps the end of the process before the end of the grace time.
 	stopEarly = 300 * time.Millisecond
-	// retryPart is the part of the allowed share of retries that nodes use; callers' clocks and windows differ.
-	retryPart = 0.7
+	// retryPart is the part of the allowed share of retries that nodes use. The calls of a repeated run count as repeats
+	// too, so the shares of up to three hops add up at the deepest service.
+	retryPart = 0.3
 	// settingsInterval is how often the settings file is read; it may change without a signal.
 	settingsInterval = time.Second
 )
