Work out the reachable share once for each report of usage

Cause: read-through; a report walked the host list and the state of all peers once more for each team whose rate this host divides. Ruled out: caching it between reports; the state of peers changes. Change: the share follows from the hosts that the report has looked up already. Before and after: same results; go vet and the tests of package relay green. Conclusion: no behaviour changes.

--- a/core/coordination/relay/rates.go
+++ b/core/coordination/relay/rates.go
@@ -49,6 +49,7 @@
 	}
 	now := rel.clock.Now()
 	hosts := rel.dividers(sna)
+	reach := reachOf(hosts, sna)
 	messages := map[string]*wire.UsageReport{}
 	for _, usa := range rel.meter.Report(now) {
 		tea := sna.Team(usa.Team())
@@ -60,7 +61,7 @@
 			host = decl.Ranked("rate/"+usa.Team(), hosts)[0]
 		}
 		if host == rel.set.Host {
-			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, tea.Rate()*rel.reach(sna)))
+			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, reach*tea.Rate()))
 			continue
 		}
 		if messages[host] == nil {
@@ -86,16 +87,16 @@
 	return out
 }
 
-// reach returns the share of the hosts that can be reached. The sides of a partition divide a rate by it, so that they
-// do not each admit the whole.
-func (rel *Relay) reach(sna *decl.Snapshot) float64 {
+// reachOf returns the share of the hosts that stay which can be reached. The sides of a partition divide a rate by it,
+// so that they do not each admit the whole.
+func reachOf(reached []string, sna *decl.Snapshot) float64 {
 	all := 0
 	for _, hos := range sna.Hosts().All() {
 		if !hos.Leaving() {
 			all++
 		}
 	}
-	return float64(len(rel.dividers(sna))) / float64(max(all, 1))
+	return float64(len(reached)) / float64(max(all, 1))
 }
 
 func (rel *Relay) exchange(ctx context.Context, host string, msg *wire.UsageReport) {
@@ -127,7 +128,7 @@
 		return reply, true, nil
 	}
 	now := rel.clock.Now()
-	reach := rel.reach(sna)
+	reach := reachOf(rel.dividers(sna), sna)
 	for _, usa := range req.GetTeams() {
 		tea := sna.Team(usa.GetTeam())
 		if tea == nil || tea.Unlimited() {
