Count the calls of repeated runs into the share of retries

Cause: each node bounded the retries of its own calls to a share, but the calls that an upstream makes while it runs a retry are further work for the services below. Change: a call carries whether it is a repeat (an attempt after the first, or a call of a run that is one); such a call uses up the share without asking. Nodes use 0.6 of the allowed share.

--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"amaranthline/core/state/retry"
 	"amaranthline/io/side"
 	"amaranthline/platform"
 
@@ -27,9 +28,6 @@
 	drainShare = 0.5
 	// stopEarly keeps the end of the process before the end of the grace time.
 	stopEarly = 300 * time.Millisecond
-	// retryPart is the part of the allowed share of retries that nodes use. The calls of a repeated run count as repeats
-	// too, so the shares of up to three hops add up at the deepest service.
-	retryPart = 0.3
 	// settingsInterval is how often the settings file is read; it may change without a signal.
 	settingsInterval = time.Second
 )
@@ -56,7 +54,7 @@
 	return side.Settings{
 		Host: cmd.Host, Domain: cmd.Domain, Service: cmd.Service, Upstream: cmd.Upstream, Connections: cmd.Connections,
 		Ingress: cmd.Ingress, Peer: cmd.Peer, Ready: cmd.Ready, Admin: cmd.Admin, InsecurePeers: cmd.InsecurePeers,
-		RetryShare: retryPart * cmd.RetryShare, DrainPause: pause, DrainTimeout: max(cmd.Grace-pause-stopEarly, stopEarly),
+		RetryShare: retry.ChainPart * cmd.RetryShare, DrainPause: pause, DrainTimeout: max(cmd.Grace-pause-stopEarly, stopEarly),
 	}
 }
 
--- a/core/call.go
+++ b/core/call.go
@@ -103,6 +103,7 @@
 	version    uint64
 	keyed      bool
 	entryRank  int
+	repeat     bool
 }
 
 // CallSpec lists the fields of a new Call.
@@ -126,6 +127,7 @@
 	Version        uint64        // declarations by which the entry admitted the call, or 0
 	Keyed          bool          // this very call, not only its root, came with a key
 	EntryRank      int           // rank that the entry gave the root, for a call that arrived from a peer
+	Repeat         bool          // an attempt after the first, or a call of an upstream that runs such an attempt
 }
 
 // NewCall returns a call of a root request.
@@ -135,7 +137,7 @@
 		body: spec.Body, length: spec.Length, idempotent: spec.Idempotent, key: spec.IdempotencyKey,
 		budget: spec.Budget, depth: spec.Depth, print: spec.Fingerprint, id: spec.ID, authority: spec.Authority,
 		origin: spec.Origin, target: spec.Target, version: spec.Version, keyed: spec.Keyed,
-		entryRank: spec.EntryRank,
+		entryRank: spec.EntryRank, repeat: spec.Repeat,
 	}
 }
 
@@ -196,6 +198,9 @@
 // EntryRank returns the rank that the entry gave the root, for a call that arrived from a peer.
 func (cal *Call) EntryRank() int { return cal.entryRank }
 
+// Repeat says whether the call is an attempt after the first, or was made by an upstream that runs such an attempt.
+func (cal *Call) Repeat() bool { return cal.repeat }
+
 // Retry returns the call with another body and budget.
 func (cal *Call) Retry(body io.Reader, budget int) *Call {
 	again := *cal
--- a/core/coordination/relay/race.go
+++ b/core/coordination/relay/race.go
@@ -38,7 +38,11 @@
 		rel: rel, out: out, ratio: rel.ratio(out.service), results: make(chan result, maxHosts),
 		flying: map[string]flight{},
 	}
-	rac.ratio.Call(rel.clock.Now())
+	if out.repeated() {
+		rac.ratio.Repeated(rel.clock.Now())
+	} else {
+		rac.ratio.Call(rel.clock.Now())
+	}
 	defer func() { rac.finish(ctx) }()
 	rac.start(ctx)
 	hedge := rac.timer()
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -160,6 +160,9 @@
 
 func (out *outgoing) nested() bool { return out.parent != nil }
 
+// repeated says whether an upstream made the request while it ran a retry.
+func (out *outgoing) repeated() bool { return out.parent != nil && out.parent.call.Repeat() }
+
 // Enter serves a request of a caller or of the own upstream.
 func (rel *Relay) Enter(ctx context.Context, req *core.Request) (*core.Answer, error) {
 	out := &outgoing{req: req, began: rel.clock.Now()}
@@ -274,6 +277,7 @@
 		Body: out.body.Reader(), Length: out.req.Length(), Idempotent: out.ent.Idempotent(), Depth: depth,
 		ID: out.req.ID(), Authority: out.req.Authority(), Origin: origin, Target: out.target,
 		Version: out.sna.Version(), Keyed: out.keyed, EntryRank: out.root.Rank(),
+		Repeat: out.repeated() || out.arrived > 1,
 	})
 }
 
--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"amaranthline/core/coordination/relay"
 	"amaranthline/core/state/decl"
 
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -452,3 +453,40 @@
 		t.Errorf("%d attempts were made, want 2", calls.Load())
 	}
 }
+
+// Attempts after the first, and the calls of an upstream that runs one, must arrive as repeats, so that nodes deeper in
+// the chain count them into the share of retries.
+func TestRepeatsAreMarked(t *testing.T) {
+	full := core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
+	var got []bool
+	wor := &world{}
+	wor.forward = func(_ context.Context, _ string, call *core.Call) (*core.Answer, error) {
+		got = append(got, call.Repeat())
+		if len(got) == 1 {
+			return nil, full
+		}
+		return ok()
+	}
+	var rel *relay.Relay
+	wor.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+		return rel.Enter(ctx, request("/stock/1", call.CallID()+".c1", ""))
+	}
+	rel = newRelay(t, wor)
+	if _, err := rel.Enter(t.Context(), request("/stock/1", "r1", secret)); err != nil {
+		t.Fatal(err)
+	}
+	served()
+	for i, repeat := range []bool{false, true} {
+		root := core.NewRoot(core.RootSpec{Team: "verona", Class: "read", Deadline: time.Now().Add(time.Second)})
+		ans, err := rel.Serve(t.Context(), core.NewCall(core.CallSpec{
+			Root: root, Service: "orders", Path: "/read/1", ID: fmt.Sprint("run", i), Target: time.Second, Repeat: repeat,
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = ans.Body().Close()
+	}
+	if diff := cmp.Diff([]bool{false, true, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/core/state/retry/chain_test.go
@@ -0,0 +1,80 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"amaranthline/core/state/retry"
+)
+
+// chain is a call graph of services in a row, in which every service calls the next one several times.
+type chain struct {
+	rng     *rand.Rand
+	now     time.Time
+	ratios  [][]*retry.Ratio // by service and calling host
+	fan     []int            // calls of one run of the service above
+	failing float64          // share of the attempts that fail after they ran
+	first   []int            // requests for each service
+	further []int            // arrivals beyond the first, and all arrivals for runs that were such
+}
+
+func newChain(share, failing float64, hosts int, fan []int) *chain {
+	cha := &chain{
+		rng: rand.New(rand.NewPCG(7, 11)), now: time.Unix(1_700_000_000, 0), fan: fan, failing: failing,
+		first: make([]int, len(fan)), further: make([]int, len(fan)),
+	}
+	for range fan {
+		var ratios []*retry.Ratio
+		for range hosts {
+			ratios = append(ratios, retry.NewRatio(share, 0))
+		}
+		cha.ratios = append(cha.ratios, ratios)
+	}
+	return cha
+}
+
+// call makes one call to a service, with at most one retry.
+func (cha *chain) call(service int, repeat bool) {
+	rat := cha.ratios[service][cha.rng.IntN(len(cha.ratios[service]))]
+	cha.first[service]++
+	if repeat {
+		rat.Repeated(cha.now)
+		cha.further[service]++
+	} else {
+		rat.Call(cha.now)
+	}
+	cha.run(service, repeat)
+	if cha.rng.Float64() < cha.failing && rat.Allow(cha.now) {
+		cha.further[service]++
+		cha.run(service, true)
+	}
+}
+
+// run lets an upstream of the service make its calls.
+func (cha *chain) run(service int, repeat bool) {
+	if service+1 < len(cha.fan) {
+		for range cha.fan[service+1] {
+			cha.call(service+1, repeat)
+		}
+	}
+}
+
+// Load pattern: every hop of a chain loses a third of its answers. Each hop has its own share of retries, but the calls
+// of a repeated run are work that the services below would not have got without it: if they did not use up the shares
+// there, the shares of all hops would add up at the deepest service.
+func TestSharesOfHopsDoNotAddUp(t *testing.T) {
+	const allowed = 0.2
+	cha := newChain(retry.ChainPart*allowed, 0.35, 5, []int{1, 1, 2, 4})
+	for range 4000 {
+		cha.now = cha.now.Add(5 * time.Millisecond)
+		cha.call(0, false)
+	}
+	for i, all := range cha.first {
+		got := float64(cha.further[i]) / float64(all)
+		t.Logf("service %d: %.3f of %d requests", i, got, all)
+		if got > allowed {
+			t.Errorf("service %d got repeats of %.3f of its requests, %.2f are allowed", i, got, allowed)
+		}
+	}
+}
--- a/core/state/retry/ratio.go
+++ b/core/state/retry/ratio.go
@@ -10,6 +10,10 @@
 	DefaultShare = 0.1
 	// DefaultFloor is the number of retries per second that are allowed at any number of calls.
 	DefaultFloor = 1
+	// ChainPart is the part of an allowed share that each node uses where the calls of a repeated run count as repeats.
+	// A node only knows its own calls: where repeated runs gather at a few hosts of a service, the others still have
+	// their whole share for retries of their own.
+	ChainPart = 0.6
 
 	windowSeconds = 10
 	ringSlots     = 16 // a power of two above windowSeconds
@@ -64,6 +68,14 @@
 // Call counts a call that is not a retry.
 func (rat *Ratio) Call(now time.Time) { rat.calls.add(second(now), 1) }
 
+// Repeated counts a call that an upstream made while it ran a retry. It is work that the service would not have got
+// without that retry, so it uses up the share without having been asked for.
+func (rat *Ratio) Repeated(now time.Time) {
+	sec := second(now)
+	rat.calls.add(sec, 1)
+	rat.retries.add(sec, 1)
+}
+
 // AllowPart is Allow with a smaller share of the bound, for retries that leave the rest to more important ones.
 func (rat *Ratio) AllowPart(now time.Time, part float64) bool {
 	sec := second(now)
--- a/io/protocol/wire/convert.go
+++ b/io/protocol/wire/convert.go
@@ -39,7 +39,7 @@
 		Budget: int32(cal.Budget()), Depth: int32(cal.Depth()), Fingerprint: print,
 		RemainingNanos: int64(remaining), AdmittedNanos: admittedNanos,
 		CallId: cal.CallID(), Authority: cal.Authority(), Origin: cal.Origin(), TargetNanos: int64(cal.Target()),
-		Version: cal.Version(), Keyed: cal.Keyed(), Rank: int32(cal.Rank()),
+		Version: cal.Version(), Keyed: cal.Keyed(), Rank: int32(cal.Rank()), Repeat: cal.Repeat(),
 	}
 }
 
@@ -69,7 +69,7 @@
 		Budget: int(head.GetBudget()), Depth: int(head.GetDepth()), Fingerprint: fin,
 		ID: head.GetCallId(), Authority: head.GetAuthority(), Origin: head.GetOrigin(),
 		Target: time.Duration(max(head.GetTargetNanos(), 0)), Version: head.GetVersion(), Keyed: head.GetKeyed(),
-		EntryRank: int(max(head.GetRank(), 0)),
+		EntryRank: int(max(head.GetRank(), 0)), Repeat: head.GetRepeat(),
 	}), nil
 }
 
--- a/io/protocol/wire/wire_test.go
+++ b/io/protocol/wire/wire_test.go
@@ -144,7 +144,7 @@
 		}),
 		Service: "stampa", Method: http.MethodPost, Path: "/prints/9?x=1", Header: http.Header{"X-Job": {"a", "b"}},
 		Body: http.NoBody, Length: -1, Idempotent: true, IdempotencyKey: "k", Budget: 2, Depth: 3, Fingerprint: core.Fingerprint{7},
-		ID: "a.b", Authority: "prints.example", Origin: "ordini", Target: time.Second, Version: 9, Keyed: true,
+		ID: "a.b", Authority: "prints.example", Origin: "ordini", Target: time.Second, Version: 9, Keyed: true, Repeat: true,
 		EntryRank: wire.UnknownRank,
 	}
 	head := wire.FromCall(core.NewCall(want), time.Second, 5)
