Send calls to a few hosts of a large service, and probe silent calls only

Cause: on the grown sites (87 hosts) every node sent calls to, exchanged rate reports with and probed nearly all other hosts: about 7,000 connections, each probed up to four times a second. Ruled out: the path of a call alone. Change: a node ranks the hosts of each service by rendezvous hashing and compares the first six of its own domain and two others that can be reached (before: three and two drawn anew for each call); four hosts divide the teams' rates instead of one for each team; a connection is probed four times a second only while a call on it has been silent for a quarter of a second, else once a second. The candidates are ranked once for each configuration, not listed for each call.

--- /dev/null
+++ b/core/coordination/relay/pools.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"amaranthline/core/state/decl"
+	"amaranthline/core/state/place"
+)
+
+// pools are the candidates for each service in this host's order of preference, as one snapshot shows them.
+type pools struct {
+	list map[string][]place.Candidate
+}
+
+// newPools ranks the hosts of each service by rendezvous hashing: each host prefers others, and a change of the list
+// moves few of them. Hosts that leave and those of failure domains that are out are no candidates.
+func newPools(set Settings, sna *decl.Snapshot) *pools {
+	poo := &pools{list: map[string][]place.Candidate{}}
+	ids := map[string][]string{}
+	for _, hos := range sna.Hosts().All() {
+		if dom := sna.Domain(hos.Domain()); !hos.Leaving() && (dom == nil || !dom.Out()) {
+			ids[hos.Service()] = append(ids[hos.Service()], hos.ID())
+		}
+	}
+	for service, list := range ids {
+		for _, id := range decl.Ranked(set.Host+"/"+service, list) {
+			local := sna.Hosts().Host(id).Domain() == set.Domain
+			poo.list[service] = append(poo.list[service], place.NewCandidate(id, local))
+		}
+	}
+	return poo
+}
+
+func (poo *pools) of(service string) []place.Candidate { return poo.list[service] }
+
+// pools returns the candidates of a snapshot. A request that began with an older snapshot finds the newest one.
+func (rel *Relay) pools(sna *decl.Snapshot) *pools {
+	if poo := rel.ranked.Load(); poo != nil {
+		return poo
+	}
+	poo := newPools(rel.set, sna)
+	rel.ranked.CompareAndSwap(nil, poo)
+	return poo
+}
+
+// Preferred returns the hosts that this node sends calls to while all can be reached.
+func (rel *Relay) Preferred() []string {
+	poo := rel.ranked.Load()
+	if poo == nil {
+		return nil
+	}
+	var out []string
+	for _, cans := range poo.list {
+		for _, can := range place.Preferred(cans) {
+			if can.ID() != rel.set.Host {
+				out = append(out, can.ID())
+			}
+		}
+	}
+	return out
+}
--- a/core/coordination/relay/rates.go
+++ b/core/coordination/relay/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	// Small demands are reported less often: a team whose demand at this host is below an even part of its rate cannot
 	// be near its rate because of this host.
 	smallEvery = 4 // reports
+	// rateGroups is how many hosts divide the teams' rates among them. With a host for each team, every node would
+	// exchange reports and keep connections with nearly all others.
+	rateGroups = 4
 )
 
 // Run keeps the parts of the teams' rates and the state of the own upstream until the context ends.
@@ -50,17 +54,19 @@
 	now := rel.clock.Now()
 	hosts := rel.dividers(sna)
 	reach := reachOf(hosts, sna)
+	by := make([]string, rateGroups) // host that divides the rates of a group of teams
+	for i := range by {
+		by[i] = decl.Top(fmt.Sprintf("rate/%d", i), hosts)
+	}
 	messages := map[string]*wire.UsageReport{}
 	for _, usa := range rel.meter.Report(now) {
 		tea := sna.Team(usa.Team())
 		if tea == nil || !all && usa.Demand() < tea.Rate()/float64(len(hosts)+1) {
 			continue
 		}
-		host := rel.set.Host
-		if len(hosts) > 0 {
-			host = decl.Ranked("rate/"+usa.Team(), hosts)[0]
-		}
-		if host == rel.set.Host {
+		host := by[decl.RateGroup(usa.Team(), rateGroups)]
+		if host == rel.set.Host || host == "" {
+			host = rel.set.Host
 			rel.meter.Grant(usa.Team(), rel.divider.Part(now, host, usa, reach*tea.Rate()))
 			continue
 		}
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -55,6 +55,7 @@
 	divider  *meter.Divider
 	lane     *lane
 	own      *own
+	ranked   atomic.Pointer[pools]
 	running  *running
 	leaving  atomic.Bool
 	draining atomic.Bool
@@ -113,6 +114,7 @@
 // Update takes a new configuration.
 func (rel *Relay) Update(sna *decl.Snapshot) {
 	now := rel.clock.Now()
+	rel.ranked.Store(newPools(rel.set, sna))
 	rel.own.update(now, sna)
 	for name, tea := range sna.Teams() {
 		if !tea.Unlimited() {
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"amaranthline/core"
 	"amaranthline/core/state/body"
-	"amaranthline/core/state/place"
 	"amaranthline/core/state/retry"
 )
 
@@ -88,21 +88,16 @@
 	if len(out.tried) >= maxHosts {
 		return "", false
 	}
-	var cans []place.Candidate
-	for _, hos := range out.sna.Hosts().OfService(out.service) {
-		if dom := out.sna.Domain(hos.Domain()); hos.Leaving() || dom != nil && dom.Out() {
-			continue
-		}
-		if hos.ID() == rel.set.Host && rel.Leaving() {
-			continue
-		}
-		cans = append(cans, place.NewCandidate(hos.ID(), hos.Domain() == rel.set.Domain))
+	tried := out.tried
+	if rel.Leaving() {
+		tried = append(slices.Clip(tried), rel.set.Host)
 	}
 	share := remoteRoot
 	if out.nested() {
 		share = remoteNested
 	}
-	return rel.table.Pick(rel.clock.Now(), cans, out.tried, seconds(out.target.Seconds()*share))
+	cans := rel.pools(out.sna).of(out.service)
+	return rel.table.Pick(rel.clock.Now(), cans, tried, len(out.tried) > 0, seconds(out.target.Seconds()*share))
 }
 
 // attempt sends one call to a host and learns from its end.
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -101,6 +101,18 @@
 	return val ^ val>>33
 }
 
+// Top returns the first host ID of Ranked, or "" without hosts.
+func Top(key string, hosts []string) string {
+	best, most := "", uint64(0)
+	for _, host := range hosts {
+		sco := Score(key, host)
+		if best == "" || sco > most || sco == most && host < best {
+			best, most = host, sco
+		}
+	}
+	return best
+}
+
 // Ranked returns the host IDs in descending order of their rendezvous score for a key.
 func Ranked(key string, hosts []string) []string {
 	out := slices.Clone(hosts)
--- a/core/state/place/place.go
+++ b/core/state/place/place.go
@@ -22,10 +22,11 @@
 	blockTime   = 500 * time.Millisecond
 	leavingTime = 8 * time.Second // after its last notice, a host that was leaving may be back
 	// Of a large service only some hosts are compared for a call, so that the cost of a choice and the number of
-	// connections do not grow with the fleet.
-	compareAll    = 8
-	compareLocal  = 3
+	// connections do not grow with the fleet. They are the same for each call while they can be reached; the callers
+	// differ in their order of preference.
+	compareLocal  = 6
 	compareRemote = 2
+	compareAll    = compareLocal + compareRemote
 	jitter        = 0.1 // of the expected time, so that entries with the same reports choose differently
 )
 
@@ -59,6 +60,7 @@
 	mut   sync.Mutex
 	hosts map[string]*record
 	rng   *rand.Rand
+	buf   []Candidate // of compared
 }
 
 // New returns a table without hosts; the generator must not be shared.
@@ -84,20 +86,18 @@
 	}
 }
 
-// Pick returns the best candidate that has not been tried, or false. A host in another failure domain must be expected
-// to answer sooner by more than remote. A host that cannot be reached is chosen only for the first attempt and when
-// there is no other; hosts that leave are not chosen.
-func (tab *Table) Pick(now time.Time, cans []Candidate, tried []string, remote time.Duration) (string, bool) {
+// Pick returns the best candidate that has not been tried, or false. The candidates are in the caller's order of
+// preference, which matters in a large service only. A host in another failure domain must be expected
+// to answer sooner by more than remote. A host that cannot be reached is chosen only when there is no other and it
+// is not asked again, after a first attempt; hosts that leave are not chosen.
+func (tab *Table) Pick(now time.Time, cans []Candidate, tried []string, again bool, remote time.Duration) (string, bool) {
 	tab.mut.Lock()
 	defer tab.mut.Unlock()
 	best, found, lowest := "", false, math.Inf(1)
-	for _, can := range tab.sample(cans) {
+	for _, can := range tab.compared(now, cans, tried) {
 		rec := tab.host(can.id)
-		if slices.Contains(tried, can.id) || now.Before(rec.leaving) {
-			continue
-		}
 		blocked := now.Before(rec.blocked)
-		if blocked && len(tried) > 0 {
+		if blocked && again {
 			continue
 		}
 		cost := tab.cost(now, rec)
@@ -114,15 +114,46 @@
 	return best, found
 }
 
-// sample returns all candidates of a small service and a random part of a large one.
-func (tab *Table) sample(cans []Candidate) []Candidate {
+// compared returns the candidates of which the best is chosen: in a large service the first of both kinds that can be
+// reached, or the first of all when none can.
+func (tab *Table) compared(now time.Time, cans []Candidate, tried []string) []Candidate {
+	out := tab.buf[:0]
+	local, remote := 0, 0
+	for _, blocked := range []bool{false, true} {
+		for _, can := range cans {
+			rec := tab.host(can.id)
+			if now.Before(rec.blocked) != blocked || now.Before(rec.leaving) || slices.Contains(tried, can.id) {
+				continue
+			}
+			if count := &remote; len(cans) > compareAll {
+				most := compareRemote
+				if can.local {
+					count, most = &local, compareLocal
+				}
+				if *count == most {
+					continue
+				}
+				*count++
+			}
+			out = append(out, can)
+		}
+		if len(out) > 0 {
+			break
+		}
+	}
+	tab.buf = out[:0]
+	return out
+}
+
+// Preferred returns the candidates that are compared while all can be reached.
+func Preferred(cans []Candidate) []Candidate {
 	if len(cans) <= compareAll {
 		return cans
 	}
 	var out []Candidate
 	places := map[bool]int{true: compareLocal, false: compareRemote}
-	for _, idx := range tab.rng.Perm(len(cans)) {
-		if can := cans[idx]; places[can.local] > 0 {
+	for _, can := range cans {
+		if places[can.local] > 0 {
 			places[can.local]--
 			out = append(out, can)
 		}
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -29,9 +29,8 @@
 	bootSpread   = 200 * time.Millisecond // of a restarted node, so that it serves again at once
 	maxBackoff   = time.Second            // between calls to a configuration service that fails
 	// keepAll is the size of a fleet up to which a node keeps connections to all hosts. In a larger one it keeps those
-	// to the hosts of its own failure domain and a few others of each service; further ones are opened when needed.
-	keepAll    = 32
-	keepRemote = 3
+	// to which it prefers to send calls; further ones are opened when needed.
+	keepAll = 32
 	// upstreamIdle is below the 10 s after which the upstreams of today's deployments close idle connections.
 	upstreamIdle  = 8 * time.Second
 	headerTimeout = 5 * time.Second
@@ -155,18 +154,12 @@
 	for _, host := range nod.spread.Neighbours() {
 		keep[host] = true
 	}
-	remote := map[string][]string{}
-	for _, hos := range all {
-		if len(all) <= keepAll || hos.Domain() == nod.set.Domain {
-			keep[hos.ID()] = true
-		} else {
-			remote[hos.Service()] = append(remote[hos.Service()], hos.ID())
-		}
+	for _, host := range nod.relay.Preferred() {
+		keep[host] = true
 	}
-	for service, ids := range remote {
-		ranked := decl.Ranked(nod.set.Host+"/"+service, ids)
-		for _, id := range ranked[:min(keepRemote, len(ranked))] {
-			keep[id] = true
+	if len(all) <= keepAll {
+		for _, hos := range all {
+			keep[hos.ID()] = true
 		}
 	}
 	delete(keep, nod.set.Host)
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -179,6 +179,7 @@
 	seen, missed := ses.acks.Load(), 0
 	heard := ses.heard.Load()
 	sent, waiting := time.Now(), false
+	due := sent.Add(probeBusy) // when the timer fires
 	for {
 		select {
 		case <-ctx.Done():
@@ -186,10 +187,12 @@
 		case <-ses.mux.CloseChan():
 			return
 		case <-ses.kick:
-			if since := time.Since(sent); since < probeBusy {
-				tick.Reset(probeBusy - since)
-				continue
+			// Most calls are answered before a probe would be; only one that stays silent needs it.
+			if time.Until(due) > probeBusy {
+				due = time.Now().Add(probeBusy)
+				tick.Reset(probeBusy)
 			}
+			continue
 		case <-tick.C:
 		}
 		switch acks := ses.acks.Load(); {
@@ -206,9 +209,10 @@
 			return
 		}
 		// Answers to calls show as much as a probe would; one a second is still sent for the clock and the load.
-		if now := ses.heard.Load(); now != heard && missed == 0 && time.Since(sent) < probeIdle-probeBusy {
+		if now := ses.heard.Load(); now != heard && missed == 0 && time.Since(sent) < probeIdle {
 			heard, waiting = now, false
-			tick.Reset(probeBusy)
+			due = time.Now().Add(ses.interval(missed))
+			tick.Reset(time.Until(due))
 			continue
 		}
 		select {
@@ -216,16 +220,16 @@
 		default: // the write of an earlier probe still blocks, which counts as not answered
 		}
 		sent, waiting = time.Now(), true
-		tick.Reset(ses.interval(missed))
+		due = sent.Add(ses.interval(missed))
+		tick.Reset(time.Until(due))
 	}
 }
 
-// interval returns the time to the next probe. The flag is set before the calls are read, so that a call that
+// interval returns the time to the next check. The flag is set before the calls are read, so that a call that
 // begins in between either is seen here or kicks the loop.
 func (ses *session) interval(missed int) time.Duration {
 	ses.idle.Store(true)
-	unused := ses.pee.mes.now()-ses.pee.used.Load() > int64(probeIdle)
-	if ses.calls.Load() == 0 && missed == 0 && unused {
+	if ses.calls.Load() == 0 && missed == 0 {
 		return probeIdle
 	}
 	ses.idle.Store(false)
