Talk to the upstream without net/http's client

Besides, a late second answer on a connection made the next call fail (a non-idempotent one with 502 although its own answer followed), and a connection that the upstream had forgotten lost the non-idempotent call that was sent on it. Ruled out: settings of net/http's client; it has none that keep an exchange on the caller's goroutine, and it reads answers without telling to which request they belong. Change: io/transport/back has its own pool. The caller's goroutine writes and reads; short bodies go with the head in one write; answers that name another call are passed over; a resting connection with something to read is closed; after a rested connection was lost, non-idempotent calls use those that rested less than half as long for 10 s. The new tests of conn_test.go cover what net/http did before or did wrong.

--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync"
@@ -23,6 +22,7 @@
 	maxHeaderBytes  = 32 << 10
 	maxReplayed     = 64 << 10 // bytes of a body that a retry may send again
 	maxDrainedBytes = 4 << 10  // body of a shed answer that is read to keep the connection
+	maxForeign      = 2        // answers to other calls that are passed over
 )
 
 // Settings says where the upstream is and what it bears.
@@ -39,7 +39,7 @@
 // Client sends calls to the upstream; it implements core.Upstream.
 type Client struct {
 	base     *url.URL
-	pool     *http.Transport
+	pool     *pool
 	dialect  core.UpstreamDialect
 	instance atomic.Pointer[string]
 	flight   atomic.Int64
@@ -75,21 +75,7 @@
 	} else {
 		cli.base = &url.URL{Opaque: set.Base}
 	}
-	dialer := &net.Dialer{Timeout: set.DialTimeout}
-	cli.pool = &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn}, nil
-		},
-		MaxConnsPerHost:        set.Connections,
-		MaxIdleConnsPerHost:    set.Connections,
-		IdleConnTimeout:        set.IdleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-	}
+	cli.pool = newPool(cli.base.Host, set)
 	return cli
 }
 
@@ -98,21 +84,34 @@
 
 // Health asks the upstream at a path, over a connection of the pool.
 func (cli *Client) Health(ctx context.Context, path string) (core.Health, error) {
-	target := *cli.base
-	target.Path = path
-	req := (&http.Request{Method: http.MethodGet, URL: &target, Host: target.Host, Header: http.Header{}}).WithContext(ctx)
-	rsp, err := cli.pool.RoundTrip(req)
+	con, err := cli.pool.get(ctx, true)
+	if err != nil {
+		return core.Health{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(past) })
+	defer stop()
+	req := &http.Request{Method: http.MethodGet}
+	_, err = con.Write(head(req.Method, path, cli.base.Host, nil, 0))
+	var rsp *http.Response
+	if err == nil {
+		rsp, err = con.answer(req)
+	}
 	if err != nil {
+		con.drop()
 		return core.Health{}, err
 	}
-	defer func() { _ = rsp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainedBytes))
 	cli.crash.answered()
+	got, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainedBytes))
+	if err != nil || got == maxDrainedBytes || rsp.Close || !stop() {
+		con.drop()
+	} else {
+		con.put(rsp.Header.Get("Keep-Alive"))
+	}
 	return cli.dialect.Health(rsp.StatusCode, rsp.Header), nil
 }
 
 // Close closes the connections that are not in use.
-func (cli *Client) Close() { cli.pool.CloseIdleConnections() }
+func (cli *Client) Close() { cli.pool.close() }
 
 // Down says whether the upstream seems to have crashed and has not been seen to listen since.
 func (cli *Client) Down() bool { return cli.crash.down.Load() }
@@ -123,7 +122,7 @@
 	if !cli.Down() {
 		return
 	}
-	conn, err := cli.pool.DialContext(ctx, "tcp", cli.base.Host)
+	conn, err := cli.pool.dial.DialContext(ctx, "tcp", cli.base.Host)
 	if err != nil {
 		return
 	}
@@ -137,251 +136,308 @@
 // Do sends one call with the token that its nested calls must present. When it returns an error for a call with a
 // body of at most 64 KiB, the body is not read any more, unless ctx has ended.
 func (cli *Client) Do(ctx context.Context, call *core.Call, token string) (*core.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline())
-	att := &attempt{cli: cli, ctx: ctx, cancel: cancel, call: call}
-	req, err := att.request(ctx, token)
-	if err != nil {
-		cancel()
-		return nil, err
+	cancel := context.CancelFunc(func() {})
+	if until, ok := ctx.Deadline(); !ok || until.After(call.Deadline()) {
+		ctx, cancel = context.WithDeadline(ctx, call.Deadline())
 	}
-	cli.flight.Add(1)
-	rsp, err := cli.pool.RoundTrip(req) //nolint:bodyclose // the reader of the answer closes it
+	att := &attempt{cli: cli, ctx: ctx, cancel: cancel, call: call}
+	ans, err := att.do(token)
 	if err != nil {
-		fail := att.failure(err)
-		att.body.settle()
 		att.finish()
-		return nil, fail
+		return nil, err
 	}
-	return att.answer(rsp)
+	return ans, nil
 }
 
+// past is any time in the past, as a deadline that unblocks a connection.
+var past = time.Unix(1, 0)
+
 // attempt is one call on its way.
 type attempt struct {
 	cli    *Client
 	ctx    context.Context
 	cancel context.CancelFunc
 	call   *core.Call
-	body   *requestBody
 	once   sync.Once
 
-	mut  sync.Mutex // the trace runs on goroutines of net/http
-	conn *countedConn
-	from int64 // bytes that had been written to conn for earlier calls
+	counted bool // in the client's calls in flight
+	con     *conn
+	unhook  func() bool
+	wrote   bool // any byte of the request was handed to the operating system
+	src     *source
+	sending chan struct{} // closed when a long body is not read any more; nil for others
 }
 
-// request builds the request so that net/http never sends it twice.
-func (att *attempt) request(ctx context.Context, token string) (*http.Request, error) {
-	target, err := att.target()
+func (att *attempt) do(token string) (*core.Answer, error) {
+	start, err := att.start(token)
 	if err != nil {
 		return nil, err
 	}
-	remaining := time.Until(att.call.Deadline())
-	if remaining <= 0 {
-		return nil, newError(KindTimeout, core.ReasonDeadline, core.OutcomeNotRun, "no time is left for the upstream", nil)
+	att.cli.flight.Add(1)
+	att.counted = true
+	con, err := att.cli.pool.get(att.ctx, att.call.Idempotent())
+	if err != nil {
+		return nil, att.failure(err)
 	}
-	hdr := wire.EndToEnd(att.call.Header())
-	hdr.Del("Expect")
-	att.cli.dialect.Send(hdr, att.call, token, *att.cli.instance.Load(), remaining)
-	if _, ok := hdr["User-Agent"]; !ok {
-		hdr["User-Agent"] = nil // keeps net/http from naming itself
-	}
-	hideIdempotencyKey(hdr)
-	host := target.Host
-	if att.call.Authority() != "" {
-		host = att.call.Authority()
-	}
-	req := &http.Request{
-		Method: att.call.Method(), URL: target, Host: host, Header: hdr,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	att.setBody(req)
-	trace := &httptrace.ClientTrace{GotConn: att.gotConn}
-	return req.WithContext(httptrace.WithClientTrace(ctx, trace)), nil
+	att.con = con
+	// The end of the context closes the exchange also while the answer's body is read.
+	att.unhook = context.AfterFunc(att.ctx, func() { _ = con.SetDeadline(past) })
+	if err := att.write(start); err != nil {
+		return nil, att.failure(err)
+	}
+	return att.read()
 }
 
-func (att *attempt) target() (*url.URL, error) {
-	if att.cli.base.Host == "" {
-		cause := &BaseError{base: att.cli.base.Opaque}
+// start returns the head of the request, with the body when that is short.
+func (att *attempt) start(token string) ([]byte, error) {
+	cli, call := att.cli, att.call
+	if cli.base.Host == "" {
+		cause := &BaseError{base: cli.base.Opaque}
 		return nil, newError(KindFailed, core.ReasonNoUpstream, core.OutcomeNotRun, cause.Error(), cause)
 	}
-	target, err := url.ParseRequestURI(att.call.Path())
-	if err != nil || !strings.HasPrefix(att.call.Path(), "/") {
-		return nil, newError(KindFailed, core.ReasonBadRequest, core.OutcomeNotRun, "the path cannot be parsed", err)
+	remaining := time.Until(call.Deadline())
+	if remaining <= 0 {
+		return nil, newError(KindTimeout, core.ReasonDeadline, core.OutcomeNotRun, "no time is left for the upstream", nil)
 	}
-	target.Scheme, target.Host, target.User = att.cli.base.Scheme, att.cli.base.Host, nil
-	return target, nil
-}
-
-// hideIdempotencyKey writes the names in lower case, which means the same in HTTP. net/http sends a request without
-// a body again after a lost connection when it finds one of these headers under its canonical name.
-func hideIdempotencyKey(hdr http.Header) {
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		if values, ok := hdr[name]; ok {
-			delete(hdr, name)
-			hdr[strings.ToLower(name)] = values
+	hdr := wire.EndToEnd(call.Header())
+	hdr.Del("Expect")
+	cli.dialect.Send(hdr, call, token, *cli.instance.Load(), remaining)
+	host := cli.base.Host
+	if call.Authority() != "" {
+		host = call.Authority()
+	}
+	if !sendableTarget(call.Path()) || !sendable(host) {
+		return nil, newError(KindFailed, core.ReasonBadRequest, core.OutcomeNotRun, "the path or the host cannot be sent", nil)
+	}
+	for name, values := range hdr {
+		if !sendable(name) || !sendable(strings.Join(values, "")) {
+			return nil, newError(KindFailed, core.ReasonBadRequest, core.OutcomeNotRun, "a header cannot be sent", nil)
 		}
 	}
-}
-
-// setBody gives every request a body that cannot be read again, because net/http sends GET, HEAD, OPTIONS and TRACE
-// requests without a body again when a reused connection is lost before the answer. It finds the body of these
-// methods empty before it writes the head, so the request on the wire stays without one.
-func (att *attempt) setBody(req *http.Request) {
-	src := att.call.Body()
-	length := att.call.Length()
-	if src == nil {
-		src, length = http.NoBody, 0
+	length := call.Length()
+	if call.Body() == nil {
+		length = 0
 	}
-	att.body = &requestBody{src: src, length: length}
-	switch {
-	case length != 0:
-		req.Body, req.ContentLength = att.body, length
-	case usuallyEmpty(req.Method):
-		req.Body = att.body
-	default:
-		req.Body = http.NoBody
+	buf := head(call.Method(), call.Path(), host, hdr, length)
+	if length == 0 {
+		return buf, nil
+	}
+	att.src = &source{src: call.Body(), length: length}
+	if length < 0 || length > maxReplayed {
+		return buf, nil
 	}
+	from := len(buf)
+	buf = append(buf, make([]byte, length)...)
+	if _, err := io.ReadFull(att.src, buf[from:]); err != nil {
+		return nil, att.failure(err)
+	}
+	att.src = nil
+	return buf, nil
 }
 
-func usuallyEmpty(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete:
-		return true
+// write sends the request. A long body is sent by a goroutine of its own, because the upstream may answer before it
+// has read it.
+func (att *attempt) write(start []byte) error {
+	att.wrote = true // a write that fails part way may have reached the upstream
+	got, err := att.con.Write(start)
+	if err != nil {
+		att.wrote = got > 0
+		return err
 	}
-	return false
+	if att.src != nil {
+		att.sending = make(chan struct{})
+		go send(att.con, att.src, att.sending)
+	}
+	return nil
 }
 
-func (att *attempt) gotConn(info httptrace.GotConnInfo) {
-	att.mut.Lock()
-	defer att.mut.Unlock()
-	att.conn, _ = info.Conn.(*countedConn)
-	if att.conn != nil {
-		att.from = att.conn.written.Load()
+func send(con *conn, src *source, done chan<- struct{}) {
+	defer close(done)
+	var err error
+	if src.length < 0 {
+		if _, err = io.Copy(chunks{con.Conn}, src); err == nil {
+			_, err = io.WriteString(con.Conn, "0\r\n\r\n")
+		}
+	} else {
+		_, err = io.CopyN(con.Conn, src, src.length)
+	}
+	if err != nil && src.failed() != nil {
+		_ = con.SetDeadline(past) // the answer to half a request is of no use
 	}
 }
 
-// wrote says whether any byte of the request was handed to the operating system.
-func (att *attempt) wrote() bool {
-	att.mut.Lock()
-	defer att.mut.Unlock()
-	return att.conn != nil && att.conn.written.Load() > att.from
+// read returns the answer to the call. Answers to other calls, which an upstream may send late or twice, are passed
+// over: the identifier that it echoes tells them apart.
+func (att *attempt) read() (*core.Answer, error) {
+	req := &http.Request{Method: att.call.Method()}
+	for skipped := 0; ; skipped++ {
+		rsp, err := att.con.answer(req)
+		if err != nil {
+			return nil, att.failure(err)
+		}
+		att.cli.crash.answered()
+		ref := att.cli.dialect.Judge(att.call, rsp.StatusCode, rsp.Header)
+		if ref == nil {
+			return att.answer(rsp), nil
+		}
+		if ref.Reason() != core.ReasonForeignAnswer || skipped == maxForeign || !delimited(rsp) {
+			return nil, att.refused(rsp, ref)
+		}
+		if _, err := io.Copy(io.Discard, rsp.Body); err != nil {
+			return nil, att.failure(err)
+		}
+	}
 }
 
-func (att *attempt) finish() {
-	att.once.Do(func() {
-		att.cancel()
-		att.cli.flight.Add(-1)
-	})
+// delimited says whether another answer can follow on the connection.
+func delimited(rsp *http.Response) bool {
+	return !rsp.Close && (rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0)
 }
 
-func (att *attempt) answer(rsp *http.Response) (*core.Answer, error) {
-	att.cli.crash.answered()
-	if ref := att.cli.dialect.Judge(att.call, rsp.StatusCode, rsp.Header); ref != nil {
-		return nil, att.refused(rsp, ref)
-	}
+func (att *attempt) answer(rsp *http.Response) *core.Answer {
 	hdr := wire.EndToEnd(rsp.Header)
 	att.cli.dialect.Answer(hdr)
-	bod := &answerBody{att: att, src: rsp.Body}
+	bod := &answerBody{att: att, rsp: rsp}
 	fee := core.NewFeedback(att.call.Budget(), 1, 0, false)
-	return core.NewAnswer(rsp.StatusCode, hdr, bod, func() core.Feedback { return fee }), nil
+	return core.NewAnswer(rsp.StatusCode, hdr, bod, func() core.Feedback { return fee })
 }
 
 // refused returns the refusal that an answer stands for. The connection is kept when the answer belongs to the call and
 // its rest is short.
 func (att *attempt) refused(rsp *http.Response, ref *core.Refusal) error {
-	defer att.finish()
 	knd := KindFailed
 	if ref.Outcome() == core.OutcomeNotRun {
 		knd = KindShed
-		if rsp.ContentLength >= 0 && rsp.ContentLength <= maxDrainedBytes {
-			_, _ = io.Copy(io.Discard, rsp.Body)
+		if got, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainedBytes)); err == nil && got < maxDrainedBytes {
+			att.release(rsp)
 		}
 	}
-	_ = rsp.Body.Close()
-	att.body.settle()
 	return &Error{Refusal: ref, kind: knd}
 }
 
-// countedConn counts the bytes that the operating system took. A write counts in full before it starts and is
-// corrected after it, so that a call whose write has just reached the upstream never reads as not run.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
+// release gives the connection back after a whole answer.
+func (att *attempt) release(rsp *http.Response) {
+	con := att.con
+	if con == nil {
+		return
+	}
+	sent := att.sending == nil
+	if !sent {
+		select {
+		case <-att.sending:
+			sent = att.src.whole()
+		default: // the rest of the body must not become the start of another request
+		}
+	}
+	if !att.unhook() || rsp.Close || !sent || !delimited(rsp) {
+		return
+	}
+	att.con = nil
+	con.put(rsp.Header.Get("Keep-Alive"))
 }
 
-// Write counts and writes.
-func (cco *countedConn) Write(data []byte) (int, error) {
-	cco.written.Add(int64(len(data)))
-	got, err := cco.Conn.Write(data)
-	cco.written.Add(int64(got - len(data)))
-	return got, err
+// finish ends the exchange; a connection that was not released is closed.
+func (att *attempt) finish() {
+	att.once.Do(func() {
+		if att.con != nil {
+			att.unhook()
+			att.con.drop()
+			att.con = nil
+		}
+		if att.counted {
+			att.cli.flight.Add(-1)
+		}
+		att.cancel()
+	})
 }
 
-// requestBody stops reading its source when the call has ended, and keeps the error of the source.
-type requestBody struct {
+// source is a request body that keeps the error of its reader.
+type source struct {
 	src    io.Reader
-	length int64
-	mut    sync.Mutex // held during a read of the source
-	closed atomic.Bool
-	err    atomic.Pointer[error]
+	length int64 // -1 when it is unknown
+	mut    sync.Mutex
+	total  int64
+	err    error
 }
 
-// Read reads the source unless the call has ended.
-func (bod *requestBody) Read(data []byte) (int, error) {
-	bod.mut.Lock()
-	defer bod.mut.Unlock()
-	if bod.closed.Load() {
-		return 0, io.ErrClosedPipe
-	}
-	got, err := bod.src.Read(data)
-	if err != nil && err != io.EOF {
-		bod.err.Store(&err)
+// Read reads the body.
+func (sou *source) Read(data []byte) (int, error) {
+	got, err := sou.src.Read(data)
+	sou.mut.Lock()
+	defer sou.mut.Unlock()
+	sou.total += int64(got)
+	if err != nil {
+		sou.err = err
 	}
 	return got, err
 }
 
-// Close stops further reads; one that is in progress ends with its source.
-func (bod *requestBody) Close() error {
-	bod.closed.Store(true)
-	return nil
+// failed returns why the body could not be read, or nil.
+func (sou *source) failed() error {
+	sou.mut.Lock()
+	defer sou.mut.Unlock()
+	if errors.Is(sou.err, io.EOF) && (sou.length < 0 || sou.total >= sou.length) {
+		return nil
+	}
+	return sou.err
 }
 
-// settle waits for a read in progress when a retry may send the body again.
-func (bod *requestBody) settle() {
-	bod.closed.Store(true)
-	if bod.length >= 0 && bod.length <= maxReplayed {
-		bod.mut.Lock()
-		defer bod.mut.Unlock()
+// whole says whether all of the body has been read.
+func (sou *source) whole() bool {
+	sou.mut.Lock()
+	defer sou.mut.Unlock()
+	if sou.length < 0 {
+		return errors.Is(sou.err, io.EOF)
 	}
+	return sou.total >= sou.length
 }
 
 // answerBody reads the rest of an answer; a cut one ends with a refusal of reason truncated.
 type answerBody struct {
 	att   *attempt
-	src   io.ReadCloser
+	rsp   *http.Response
 	total int
+	err   error
 }
 
 // Read returns data, io.EOF for a whole answer, or a refusal.
 func (abo *answerBody) Read(data []byte) (int, error) {
-	got, err := abo.src.Read(data)
+	if abo.err != nil {
+		return 0, abo.err
+	}
+	got, err := abo.rsp.Body.Read(data)
 	if abo.total += got; abo.total > wire.MaxAnswerBody {
-		_ = abo.Close()
-		return 0, newError(KindFailed, core.ReasonTruncated, core.OutcomeUnknown, "the answer is longer than 64 MiB", nil)
+		err = newError(KindFailed, core.ReasonTruncated, core.OutcomeUnknown, "the answer is longer than 64 MiB", nil)
+		got = 0
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		return got, nil
+	case errors.Is(err, io.EOF):
+		abo.att.release(abo.rsp)
+		abo.err = io.EOF
+	case abo.total > wire.MaxAnswerBody:
+		abo.err = err
+	default:
+		abo.err = abo.att.cut(err)
 	}
-	defer abo.att.finish()
-	if err == io.EOF {
-		return got, err
-	}
-	return got, abo.att.cut(err)
+	abo.att.finish()
+	return got, abo.err
 }
 
 // Close gives the connection up when the answer has not been read to its end.
 func (abo *answerBody) Close() error {
-	err := abo.src.Close()
+	if abo.err == nil {
+		abo.err = io.ErrClosedPipe
+	}
 	abo.att.finish()
-	return err
+	return nil
+}
+
+func usuallyEmpty(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodDelete:
+		return true
+	}
+	return false
 }
--- /dev/null
+++ b/io/transport/back/conn_test.go
@@ -0,0 +1,184 @@
+package back_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"amaranthline/core"
+	"amaranthline/io/transport/back"
+)
+
+// echoed is a dialect in which the upstream names the call that it answers in the header X-Call.
+type echoed struct{}
+
+func (echoed) Send(hdr http.Header, call *core.Call, _, _ string, _ time.Duration) {
+	hdr.Set("X-Call", call.CallID())
+}
+
+func (echoed) Judge(call *core.Call, _ int, hdr http.Header) *core.Refusal {
+	if hdr.Get("X-Call") != call.CallID() {
+		return core.NewRefusal(core.ReasonForeignAnswer, core.OutcomeUnknown, "another call was answered")
+	}
+	return nil
+}
+
+func (echoed) Answer(http.Header)                  {}
+func (echoed) Health(int, http.Header) core.Health { return core.Health{} }
+
+func named(id string, idempotent bool) *core.Call {
+	return core.NewCall(core.CallSpec{
+		Root:   core.NewRoot(core.RootSpec{Deadline: time.Now().Add(patience)}),
+		Method: http.MethodPost, Path: "/prints", ID: id, Idempotent: idempotent,
+	})
+}
+
+func answerTo(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Call: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// body makes a call and returns the body of its answer.
+func body(t *testing.T, cli *back.Client, call *core.Call) string {
+	t.Helper()
+	ans, err := cli.Do(t.Context(), call, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ans.Body().Close() }()
+	data, err := io.ReadAll(ans.Body())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// An upstream may answer a call twice, the second time only after it has got the next call. That answer must reach
+// nobody, and the next call must get its own: taking it for a failure loses a request that ran.
+func TestLateSecondAnswerIsPassedOver(t *testing.T) {
+	srv := serveRaw(t, func(number int, conn net.Conn, req *http.Request) bool {
+		if number == 2 {
+			answerTo(conn, "first", "late")
+		}
+		answerTo(conn, req.Header.Get("X-Call"), "own")
+		return true
+	})
+	cli := client(t, back.Settings{Base: srv.base(), Dialect: echoed{}})
+	got := []string{body(t, cli, named("first", false)), body(t, cli, named("second", false)), body(t, cli, named("third", false))}
+	if diff := cmp.Diff([]string{"own", "own", "own"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A second answer that waits on a resting connection ends that connection; a call must not be sent behind it.
+func TestRestingConnectionWithBytesIsClosed(t *testing.T) {
+	var conns sync.Map
+	srv := serveRaw(t, func(_ int, conn net.Conn, req *http.Request) bool {
+		conns.Store(conn, true)
+		answerTo(conn, req.Header.Get("X-Call"), "own")
+		answerTo(conn, req.Header.Get("X-Call"), "again")
+		return true
+	})
+	cli := client(t, back.Settings{Base: srv.base(), Dialect: echoed{}})
+	for i := range 3 {
+		if got := body(t, cli, named(fmt.Sprint(i), false)); got != "own" {
+			t.Errorf("call %d got %q", i, got)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	used := 0
+	conns.Range(func(any, any) bool {
+		used++
+		return true
+	})
+	if used != 3 {
+		t.Errorf("%d connections were used for 3 calls that were answered twice", used)
+	}
+}
+
+// Load pattern: upstreams that forget connections after a short rest. A non-idempotent call that is lost so cannot be
+// sent again, so after the first loss such calls use connections that rested less, or new ones.
+func TestForgottenConnectionsAreAvoided(t *testing.T) {
+	const rest = 60 * time.Millisecond
+	var answered sync.Map
+	srv := serveRaw(t, func(_ int, conn net.Conn, req *http.Request) bool {
+		if last, ok := answered.Load(conn); ok && time.Since(last.(time.Time)) > rest/2 {
+			return false
+		}
+		answerTo(conn, req.Header.Get("X-Call"), "own")
+		answered.Store(conn, time.Now())
+		return true
+	})
+	cli := client(t, back.Settings{Base: srv.base(), Dialect: echoed{}})
+	lost := 0
+	for i := range 6 {
+		if _, err := do(t.Context(), cli, named(fmt.Sprint(i), false)); err != nil {
+			lost++
+		}
+		time.Sleep(rest)
+	}
+	if lost > 1 {
+		t.Errorf("%d calls were lost, want only the one that showed the upstream's habit", lost)
+	}
+}
+
+// An upstream may answer before it has read a long body. The connection must not carry another request while the rest
+// of that body is due.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	arrived := make(chan string, 4)
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				buf := make([]byte, 512)
+				got, _ := conn.Read(buf)
+				arrived <- strings.SplitN(string(buf[:got]), "\r\n", 2)[0]
+				answerTo(conn, "long", "early")
+				answerTo(conn, "short", "early")
+				time.Sleep(200 * time.Millisecond)
+			}()
+		}
+	}()
+	cli := client(t, back.Settings{Base: "http://" + lis.Addr().String(), Dialect: echoed{}})
+	long := core.NewCall(core.CallSpec{
+		Root:   core.NewRoot(core.RootSpec{Deadline: time.Now().Add(patience)}),
+		Method: http.MethodPost, Path: "/long", ID: "long", Body: io.MultiReader(strings.NewReader("start"), stalled{}), Length: 1 << 20,
+	})
+	if got := body(t, cli, long); got != "early" {
+		t.Errorf("the long call got %q", got)
+	}
+	ans, err := cli.Do(t.Context(), core.NewCall(core.CallSpec{
+		Root: core.NewRoot(core.RootSpec{Deadline: time.Now().Add(patience)}), Method: http.MethodGet, Path: "/short", ID: "short",
+	}), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ans.Body().Close()
+	<-arrived
+	if got := <-arrived; got != "GET /short HTTP/1.1" {
+		t.Errorf("the next call arrived as %q", got)
+	}
+}
+
+// stalled is a body whose rest does not come for a long time.
+type stalled struct{}
+
+func (stalled) Read([]byte) (int, error) {
+	time.Sleep(patience)
+	return 0, io.EOF
+}
--- a/io/transport/back/fail.go
+++ b/io/transport/back/fail.go
@@ -67,14 +67,14 @@
 // the request was written.
 func (att *attempt) failure(err error) *Error {
 	out := core.OutcomeUnknown
-	if !att.wrote() {
+	if !att.wrote {
 		out = core.OutcomeNotRun
 	}
 	if fai := att.ended(err, out); fai != nil {
 		return fai
 	}
-	if src := att.body.err.Load(); src != nil {
-		return bodyFailure(*src, out)
+	if src := att.src; src != nil && src.failed() != nil {
+		return bodyFailure(src.failed(), out)
 	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -83,6 +83,7 @@
 	case out == core.OutcomeNotRun:
 		return newError(KindFailed, core.ReasonNoUpstream, out, "no connection to the upstream could be used", err)
 	case lost(err):
+		att.con.dead()
 		att.cli.crash.reset(att.cli.flight.Load())
 		return newError(KindReset, core.ReasonUpstreamFailed, out, "the upstream closed the connection before it answered", err)
 	}
