Carry short calls between nodes on one stream of a session

Cause: each call opened a yamux stream: a frame each for opening, data and end in both directions, each with a write of its own, and four goroutines. Ruled out: another multiplexer or a connection without yamux; one long-lived stream keeps its flow control and the session's probes, and needs no second connection. Change: mesh has lanes. A call with a short body in memory is one frame, its short answer another; frames that are ready together go in one write. Longer answers come in parts against credit, so that one that is not read holds up no other. Calls with long or unknown bodies keep their own stream.

--- a/io/protocol/wire/frame.go
+++ b/io/protocol/wire/frame.go
@@ -18,6 +18,10 @@
 	MaxControlFrame  = 64 << 10
 	MaxBodyFrame     = 32 << 10
 	MaxDocumentFrame = 2 << 20
+	MaxLaneFrame     = 128 << 10
+
+	// MaxLaneBody is the longest body in one frame of a lane; a head of the longest kind fits beside it.
+	MaxLaneBody = 32 << 10
 
 	// MaxBodyPart is the number of data bytes that fit in a body frame next to its tags and lengths.
 	MaxBodyPart = MaxBodyFrame - 16
@@ -105,6 +109,9 @@
 	tab.body = tab.of((*Body)(nil))
 	tab.body.limit = MaxBodyFrame
 	tab.of((*Document)(nil)).limit = MaxDocumentFrame
+	for _, msg := range []proto.Message{(*LaneCall)(nil), (*LaneAnswer)(nil), (*LanePart)(nil)} {
+		tab.of(msg).limit = MaxLaneFrame
+	}
 	return tab
 })
 
--- a/io/transport/mesh/call.go
+++ b/io/transport/mesh/call.go
@@ -170,6 +170,9 @@
 		cancel()
 		return nil, err
 	}
+	if short(call) {
+		return ses.quick(ctx, cancel, call, head)
+	}
 	exc, err := ses.exchange(ctx, cancel, func(wri *wire.Writer) error { return sendCall(wri, call, head) })
 	if err != nil {
 		return nil, err
@@ -273,18 +276,18 @@
 		return nil, exc.unexpected(msg)
 	}
 	if err := wire.ToRefusal(head); err != nil {
-		return nil, exc.ownReason(err)
+		return nil, ownReason(exc.ctx, err)
 	}
 	bod := &answerBody{exc: exc}
 	return core.NewAnswer(int(head.GetStatus()), wire.ToHeader(head.GetHeaders()), bod, bod.feedback), nil
 }
 
-// ownReason replaces the reason cancelled of a peer that only saw the end of the stream: this node knows whether the
+// ownReason replaces the reason cancelled of a peer that only saw the end of the call: this node knows whether the
 // deadline passed or the caller gave up.
-func (exc *exchange) ownReason(err error) error {
+func ownReason(ctx context.Context, err error) error {
 	ref := core.AsRefusal(err)
-	if ref.Reason() == core.ReasonCancelled && exc.ctx.Err() != nil {
-		return ended(exc.ctx, ref.Outcome())
+	if ref.Reason() == core.ReasonCancelled && ctx.Err() != nil {
+		return ended(ctx, ref.Outcome())
 	}
 	return err
 }
@@ -334,7 +337,7 @@
 		fee := wire.ToFeedback(frm.GetFeedback())
 		abo.fee.Store(&fee)
 		if err := wire.ToFailure(frm); err != nil {
-			return abo.exc.ownReason(err)
+			return ownReason(abo.exc.ctx, err)
 		}
 		return io.EOF
 	}
--- /dev/null
+++ b/io/transport/mesh/lane_test.go
@@ -0,0 +1,102 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/io/protocol/wire"
+)
+
+// Short calls of one connection share a stream. A long answer whose caller does not read on must not hold up the others,
+// and must arrive whole once it is read.
+func TestUnreadAnswerHoldsUpNoOther(t *testing.T) {
+	long := bytes.Repeat([]byte("0123456789abcdef"), 64<<10)
+	two := start(t, "h2", func(_ context.Context, call *core.Call) (*core.Answer, error) {
+		if call.Method() == "LONG" {
+			return answer(bytes.NewReader(long)), nil
+		}
+		return answer(strings.NewReader("short")), nil
+	}, nil)
+	one := start(t, "h1", echo, nil)
+	link(one, "h2", two.Addr())
+	call := func(method string) *core.Call {
+		return core.NewCall(core.CallSpec{Root: root(patience), Method: method, Path: "/"})
+	}
+	ans, err := one.Forward(t.Context(), "h2", call("LONG"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var grp sync.WaitGroup
+	for range 50 {
+		grp.Go(func() {
+			if rep := forward(t.Context(), one, "h2", call("GET")); rep.body != "short" || rep.err != nil {
+				t.Errorf("a short call got %q, %v", rep.body, rep.err)
+			}
+		})
+	}
+	grp.Wait()
+	got, err := io.ReadAll(ans.Body())
+	if err != nil || !bytes.Equal(got, long) {
+		t.Errorf("the long answer has %d of %d bytes, %v", len(got), len(long), err)
+	}
+}
+
+// A caller that leaves in the middle of a long answer must end the work on the serving side.
+func TestLeavingInLongAnswerReachesServer(t *testing.T) {
+	gone := make(chan struct{})
+	two := start(t, "h2", func(ctx context.Context, _ *core.Call) (*core.Answer, error) {
+		context.AfterFunc(ctx, func() { close(gone) })
+		return answer(zeros{}), nil
+	}, nil)
+	one := start(t, "h1", echo, nil)
+	link(one, "h2", two.Addr())
+	ans, err := one.Forward(t.Context(), "h2", core.NewCall(core.CallSpec{Root: root(patience), Method: "GET", Path: "/"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.CopyN(io.Discard, ans.Body(), 3*wire.MaxLaneBody); err != nil {
+		t.Fatal(err)
+	}
+	_ = ans.Body().Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Error("the serving side still works for a caller that has gone")
+	}
+}
+
+// When the connection is lost, each call that may have been sent must end as unknown at once, not at its deadline.
+func TestLostLaneEndsItsCalls(t *testing.T) {
+	const calls = 20
+	arrived := make(chan struct{}, calls)
+	two := start(t, "h2", func(ctx context.Context, _ *core.Call) (*core.Answer, error) {
+		arrived <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}, nil)
+	rel := newRelay(t, two.Addr(), 0)
+	one := start(t, "h1", echo, nil)
+	link(one, "h2", rel.addr())
+	errs := make(chan error, calls)
+	for i := range calls {
+		go func() { errs <- forward(t.Context(), one, "h2", newCall(fmt.Sprint(i))).err }()
+	}
+	for range calls {
+		<-arrived
+	}
+	begin := time.Now()
+	rel.cut()
+	for range calls {
+		wantRefusal(t, <-errs, core.ReasonPeerFailed, core.OutcomeUnknown)
+	}
+	if took := time.Since(begin); took > time.Second {
+		t.Errorf("the calls ended after %v", took)
+	}
+}
--- a/io/transport/mesh/mesh.go
+++ b/io/transport/mesh/mesh.go
@@ -186,7 +186,10 @@
 // Forward sends a call to the node of a host. When it returns an error for a call with a body of at most
 // 64 KiB, the body is not read any more, unless ctx has ended.
 func (mes *Mesh) Forward(ctx context.Context, host string, call *core.Call) (*core.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline())
+	cancel := context.CancelFunc(func() {})
+	if until, ok := ctx.Deadline(); !ok || until.After(call.Deadline()) {
+		ctx, cancel = context.WithDeadline(ctx, call.Deadline())
+	}
 	ses, err := mes.session(ctx, host)
 	if err != nil {
 		cancel()
--- a/io/transport/mesh/peer.go
+++ b/io/transport/mesh/peer.go
@@ -231,7 +231,11 @@
 		return nil, err
 	}
 	ses := newSession(pee, mux, raw)
-	if err := pee.greet(ses, conn); err != nil {
+	err = pee.greet(ses, conn)
+	if err == nil {
+		err = ses.openLane()
+	}
+	if err != nil {
 		ses.close()
 		ses.release()
 		return nil, err
--- a/io/transport/mesh/serve.go
+++ b/io/transport/mesh/serve.go
@@ -281,6 +281,13 @@
 		return
 	}
 	switch frm := msg.(type) {
+	case *wire.LaneOpen:
+		// The calls of the lane count, not its stream.
+		inb.mes.active.Add(-1)
+		inb.active.Add(-1)
+		inb.lane(ctx, str, rea)
+		inb.mes.active.Add(1)
+		inb.active.Add(1)
 	case *wire.CallHead:
 		inb.call(ctx, &serving{inb: inb, str: str, rea: rea, wri: wri}, frm)
 	case *wire.Offer, *wire.Pull, *wire.Document, *wire.LoanOffer, *wire.LoanRequest, *wire.Suspect, *wire.Contact, *wire.ServiceLists, *wire.UsageReport:
@@ -377,7 +384,7 @@
 }
 
 func (ser *serving) respond(ctx context.Context, call *core.Call) {
-	ans, err := ser.handle(ctx, call)
+	ans, err := ser.inb.handle(ctx, call)
 	if err != nil {
 		_ = ser.wri.Write(wire.FromRefusal(err))
 		return
@@ -393,11 +400,11 @@
 	_ = ser.copyBody(ans)
 }
 
-func (ser *serving) handle(ctx context.Context, call *core.Call) (*core.Answer, error) {
+func (inb *inbound) handle(ctx context.Context, call *core.Call) (*core.Answer, error) {
 	if ctx.Err() != nil {
 		return nil, ended(ctx, core.OutcomeNotRun)
 	}
-	ans, err := ser.inb.mes.set.Handler.Serve(ctx, call)
+	ans, err := inb.mes.set.Handler.Serve(ctx, call)
 	var ref *core.Refusal
 	if err != nil && ctx.Err() != nil && !errors.As(err, &ref) {
 		return nil, ended(ctx, core.OutcomeUnknown).Wrap(err)
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -23,6 +23,7 @@
 	rea *wire.Reader
 	wri *wire.Writer
 
+	lane   *lane
 	calls  atomic.Int64
 	acks   atomic.Int64
 	heard  atomic.Int64 // frames that arrived on other streams
@@ -139,6 +140,7 @@
 	probes := make(chan *wire.Probe, 1)
 	var tasks sync.WaitGroup
 	tasks.Go(ses.readAcks)
+	tasks.Go(ses.lane.run)
 	tasks.Go(func() { ses.writeProbes(probes) })
 	ses.probeLoop(ctx, probes)
 	ses.pee.redial()
