Name the warm time in refusals of cold upstreams, and give rate back for what has not run

A request that was admitted by its team's rate and then refused for overload took rate again when it returned. Change: the refusal of a cold upstream carries the rest of its cold time, and the entry passes it on with a spread; the meter takes back what a request took that has not run. Lines of the log for each request are only put together if they will be written.

--- a/core/coordination/relay/lane.go
+++ b/core/coordination/relay/lane.go
@@ -31,12 +31,15 @@
 	now := lan.clock.Now()
 	lan.grant(now)
 	ver := lan.stage.Arrive(now, cal)
+	cold := lan.stage.Cold(now)
 	lan.mut.Unlock()
 	switch ver {
 	case stage.Run:
 		return nil
 	case stage.Wait:
 		return lan.wait(ctx, cal, wai)
+	case stage.Cold:
+		return refusal(ver).After(cold)
 	}
 	return refusal(ver)
 }
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -30,6 +30,13 @@
 	configurationPause = 300 * time.Millisecond
 )
 
+// Events of the log that every request or call may cause.
+const (
+	eventAnswered    = "request answered"
+	eventRefused     = "request refused"
+	eventCallRefused = "call refused"
+)
+
 // Settings configures a Relay.
 type Settings struct {
 	Host     string
@@ -154,6 +161,7 @@
 	target  time.Duration
 	body    *body.Replay
 	keyed   bool
+	paid    bool // the request took a part of its team's rate
 	began   time.Time
 
 	tried   []string
@@ -250,6 +258,7 @@
 	if ok, pause := rel.meter.Take(now, spec.Team); !ok {
 		return refuse(core.ReasonRateExceeded, "team %q is above its rate", spec.Team).After(pause)
 	}
+	out.paid = true
 	return nil
 }
 
@@ -292,18 +301,25 @@
 	took := rel.clock.Now().Sub(out.began)
 	if err == nil {
 		rel.set.Observer.Served(class, team, out.nested(), took)
-		rel.note("request answered", out, map[string]any{"status": ans.Status(), "took_ms": took.Milliseconds()})
+		if rel.set.Notes.Wants(eventAnswered) {
+			rel.note(eventAnswered, out, map[string]any{"status": ans.Status(), "took_ms": took.Milliseconds()})
+		}
 		return
 	}
 	ref := core.AsRefusal(err)
 	rel.set.Observer.Refused(ref.Reason(), class, team)
-	rel.note("request refused", out, map[string]any{
-		"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
-		"retry_after_ms": ref.RetryAfter().Milliseconds(), "took_ms": took.Milliseconds(),
-	})
+	if out.paid && ref.Outcome() == core.OutcomeNotRun {
+		rel.meter.Return(team)
+	}
 	if out.parent != nil {
 		out.parent.failed.Store(true)
 	}
+	if rel.set.Notes.Wants(eventRefused) {
+		rel.note(eventRefused, out, map[string]any{
+			"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
+			"retry_after_ms": ref.RetryAfter().Milliseconds(), "took_ms": took.Milliseconds(),
+		})
+	}
 }
 
 // note logs a decision about a request at its entry.
--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -119,6 +119,7 @@
 func (*world) Refused(core.Reason, string, string)                 {}
 func (*world) Retried(string)                                      {}
 func (*world) Note(string, string, map[string]any)                 {}
+func (*world) Wants(string) bool                                   { return true }
 func (*world) Health(context.Context, string) (core.Health, error) { return core.Health{}, nil }
 
 func (wor *world) Do(ctx context.Context, call *core.Call, _ string) (*core.Answer, error) {
@@ -490,3 +491,34 @@
 		t.Error(diff)
 	}
 }
+
+// Load pattern: all upstreams of a service start again at once. Whoever returns before they are warm is refused again,
+// and many callers return only once, so the refusal names the time at which the upstream is warm.
+func TestColdRefusalNamesWarmTime(t *testing.T) {
+	const cold = 2 * time.Second
+	wor := &world{}
+	wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+		return nil, core.NewRefusal(core.ReasonCold, core.OutcomeNotRun, "cold").After(cold)
+	}
+	_, err := newRelay(t, wor).Enter(t.Context(), request("/stock/1", "r1", secret))
+	check(t, err, core.ReasonCold, core.OutcomeNotRun)
+	if got := core.AsRefusal(err).RetryAfter(); got < cold || got > cold+500*time.Millisecond {
+		t.Errorf("the caller may come back after %v, the upstream is cold for %v", got, cold)
+	}
+}
+
+// Load pattern: an overloaded service refuses most of a team's requests, and they come again. A request that has not run
+// must not use up the team's rate, or the team is refused for its rate although it gets less than that.
+func TestRefusedRequestsKeepTheRate(t *testing.T) {
+	wor := &world{}
+	wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+		return nil, core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "full")
+	}
+	rel := newRelay(t, wor)
+	for i := range 3000 { // rate and burst of the team are 1000
+		_, err := rel.Enter(t.Context(), request("/stock/1", fmt.Sprint(i), secret))
+		if core.AsRefusal(err).Reason() != core.ReasonOverload {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -225,6 +225,10 @@
 		return ref
 	}
 	target := out.target.Seconds()
+	if ref.Reason() == core.ReasonCold {
+		// Before the upstreams are warm, those that return would be refused again, and many callers return only once.
+		return ref.After(ref.RetryAfter() + rel.rng.between(0, seconds(target*comeBackLate)))
+	}
 	return ref.After(rel.rng.between(seconds(target*comeBackEarly), seconds(target*comeBackLate)))
 }
 
--- a/core/coordination/relay/serve.go
+++ b/core/coordination/relay/serve.go
@@ -29,11 +29,13 @@
 		return ans, nil
 	}
 	ref := core.AsRefusal(err)
-	rel.set.Notes.Note("call refused", call.CallID(), map[string]any{
-		"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
-		"class": call.Class(), "rank": call.EntryRank(), "depth": call.Depth(), "root": call.ID().String(),
-		"remaining_ms": time.Until(call.Deadline()).Milliseconds(),
-	})
+	if rel.set.Notes.Wants(eventCallRefused) {
+		rel.set.Notes.Note(eventCallRefused, call.CallID(), map[string]any{
+			"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
+			"class": call.Class(), "rank": call.EntryRank(), "depth": call.Depth(), "root": call.ID().String(),
+			"remaining_ms": time.Until(call.Deadline()).Milliseconds(),
+		})
+	}
 	return nil, core.WithFeedback(ref, rel.feedback(nil))
 }
 
--- a/core/ports.go
+++ b/core/ports.go
@@ -54,6 +54,9 @@
 type Notes interface {
 	// Note writes one line: what was decided, for which caller's attempt, and by which inputs.
 	Note(event, call string, fields map[string]any)
+	// Wants says whether a line of the event would be written now; if not, it is counted as left out. It saves the
+	// collecting of fields for events of each request.
+	Wants(event string) bool
 }
 
 // CallerDialect translates between requests of callers and the headers that they use.
--- a/core/state/meter/meter.go
+++ b/core/state/meter/meter.go
@@ -128,6 +128,16 @@
 	return true, 0
 }
 
+// Return gives back what a request took that was admitted and then refused without having run: its caller comes again,
+// and would pay twice.
+func (met *Meter) Return(team string) {
+	met.mut.Lock()
+	defer met.mut.Unlock()
+	if buc := met.teams[team]; buc != nil {
+		buc.tokens = min(buc.tokens+1, buc.depth())
+	}
+}
+
 // Surge says whether a team has asked for far more than usual since the last report.
 func (met *Meter) Surge() bool {
 	met.mut.Lock()
--- a/core/state/stage/stage.go
+++ b/core/state/stage/stage.go
@@ -109,6 +109,9 @@
 // SetCold takes until when the upstream is cold and how many requests a second it bears until then.
 func (sta *Stage) SetCold(until time.Time, rate float64) { sta.cold.set(until, rate*coldShare) }
 
+// Cold returns how much longer the upstream is cold.
+func (sta *Stage) Cold(now time.Time) time.Duration { return max(sta.cold.until.Sub(now), 0) }
+
 // Busy returns how many places are taken.
 func (sta *Stage) Busy() int { return sta.busy }
 
--- a/io/side/notes.go
+++ b/io/side/notes.go
@@ -52,9 +52,31 @@
 	ent.Info(event)
 }
 
+// Wants says whether a line of the event would be written now, and counts it as left out if not.
+func (not *Notes) Wants(event string) bool {
+	not.mut.Lock()
+	defer not.mut.Unlock()
+	alw := not.fill(event)
+	if alw.tokens < 1 {
+		alw.omitted++
+	}
+	return alw.tokens >= 1
+}
+
 func (not *Notes) allow(event string) bool {
 	not.mut.Lock()
 	defer not.mut.Unlock()
+	alw := not.fill(event)
+	if alw.tokens < 1 {
+		alw.omitted++
+		return false
+	}
+	alw.tokens--
+	return true
+}
+
+// fill returns the allowance of an event as it is now. The caller holds the lock.
+func (not *Notes) fill(event string) *allowance {
 	alw := not.events[event]
 	if alw == nil {
 		alw = &allowance{tokens: noteBurst}
@@ -67,12 +89,7 @@
 	now := time.Since(not.start)
 	alw.tokens = min(alw.tokens+rate*(now-alw.filled).Seconds(), noteBurst)
 	alw.filled = now
-	if alw.tokens < 1 {
-		alw.omitted++
-		return false
-	}
-	alw.tokens--
-	return true
+	return alw
 }
 
 // Run writes from time to time how many lines were left out.
