Let timers of the request path run only when there is something for them

Cause: each node woke 80 times a second for grants at a cold upstream, health checks and surges of teams, also when nothing waited; on the grown site that is 7,000 wake-ups a second beside about 12,000 calls. Change: grants by time run while calls wait at a cold upstream, the health check while a check is required, and a surge wakes the report by itself, at most every 50 ms as before. Measured: tests of relay and platform with the race detector.

--- a/core/coordination/relay/lane.go
+++ b/core/coordination/relay/lane.go
@@ -13,10 +13,14 @@
 type lane struct {
 	clock core.Clock
 
-	mut   sync.Mutex
-	stage *stage.Stage
+	mut    sync.Mutex
+	stage  *stage.Stage
+	pacing bool // a timer runs that grants places to waiting calls
 }
 
+// grantInterval is the time between grants of places that only the passing of time frees, as at a cold upstream.
+const grantInterval = 20 * time.Millisecond
+
 // waiter is a call that waits. The lane's lock guards late until ready is closed.
 type waiter struct {
 	ready chan struct{}
@@ -37,6 +41,9 @@
 	case stage.Run:
 		return nil
 	case stage.Wait:
+		if cold > 0 {
+			lan.pace()
+		}
 		return lan.wait(ctx, cal, wai)
 	case stage.Cold:
 		return refusal(ver).After(cold)
@@ -109,12 +116,24 @@
 	}
 }
 
-// tick grants places that became free by time alone.
-func (lan *lane) tick() {
+// pace grants places that become free by time alone, until no call waits.
+func (lan *lane) pace() {
 	lan.mut.Lock()
 	defer lan.mut.Unlock()
-	if lan.stage.Waiting() > 0 {
-		lan.grant(lan.clock.Now())
+	if !lan.pacing {
+		lan.pacing = true
+		time.AfterFunc(grantInterval, lan.tick)
+	}
+}
+
+func (lan *lane) tick() {
+	lan.mut.Lock()
+	lan.grant(lan.clock.Now())
+	lan.pacing = false
+	again := lan.stage.Waiting() > 0
+	lan.mut.Unlock()
+	if again {
+		lan.pace()
 	}
 }
 
@@ -128,6 +147,10 @@
 	lan.mut.Lock()
 	defer lan.mut.Unlock()
 	lan.stage.SetCold(until, rate)
+	if !lan.pacing && lan.stage.Waiting() > 0 {
+		lan.pacing = true
+		time.AfterFunc(grantInterval, lan.tick)
+	}
 }
 
 func (lan *lane) expected() (expected, step time.Duration) {
--- a/core/coordination/relay/own.go
+++ b/core/coordination/relay/own.go
@@ -11,7 +11,6 @@
 
 const (
 	healthInterval = 100 * time.Millisecond // between health checks while the state of the upstream is not known
-	grantInterval  = 20 * time.Millisecond  // between grants of places that only the passing of time frees
 	healthTimeout  = 400 * time.Millisecond
 	// unknownTime is how long calls wait for a first health check when the host list already shows the upstream.
 	unknownTime = time.Second
@@ -33,13 +32,14 @@
 	coldAt   uint64 // newest observation of the list that the upstream is cold
 	health   string // path
 	coldRate float64
-	asking   bool      // a health check must succeed before calls are sent
+	asking   bool // a health check must succeed before calls are sent
+	wake     chan struct{}
 	since    time.Time // of asking
 	down     bool
 }
 
 func newOwn(set Settings, clo core.Clock, lan *lane) *own {
-	return &own{set: set, clock: clo, lane: lan, asking: true, since: clo.Now()}
+	return &own{set: set, clock: clo, lane: lan, asking: true, since: clo.Now(), wake: make(chan struct{}, 1)}
 }
 
 // update takes what a new configuration says about this host.
@@ -80,6 +80,10 @@
 func (ow *own) ask(now time.Time, why string) {
 	if !ow.asking {
 		ow.asking, ow.since = true, now
+		select {
+		case ow.wake <- struct{}{}:
+		default:
+		}
 		ow.set.Notes.Note("upstream asked for its health", "", map[string]any{"why": why})
 	}
 }
@@ -120,28 +124,30 @@
 
 // run asks the upstream for its health while that is required.
 func (ow *own) run(ctx context.Context) {
-	tick := time.NewTicker(healthInterval)
+	tick := time.NewTimer(healthInterval)
 	defer tick.Stop()
-	grant := time.NewTicker(grantInterval)
-	defer grant.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-grant.C:
-			ow.lane.tick()
+		case <-ow.wake:
 		case <-tick.C:
-			if path, ok := ow.due(); ok {
+			path, asking := ow.due()
+			if asking && path != "" {
 				ow.probe(ctx, path)
 			}
+			if _, asking = ow.due(); !asking {
+				continue // until the next event that requires a check
+			}
 		}
+		tick.Reset(healthInterval)
 	}
 }
 
-func (ow *own) due() (string, bool) {
+func (ow *own) due() (path string, asking bool) {
 	ow.mut.Lock()
 	defer ow.mut.Unlock()
-	return ow.health, ow.asking && ow.health != ""
+	return ow.health, ow.asking
 }
 
 func (ow *own) probe(ctx context.Context, path string) {
--- a/core/coordination/relay/rates.go
+++ b/core/coordination/relay/rates.go
@@ -30,17 +30,25 @@
 	var grp sync.WaitGroup
 	defer grp.Wait()
 	grp.Go(func() { rel.own.run(ctx) })
-	tick := time.NewTicker(surgeInterval)
+	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
-	const ticks = int(reportInterval / surgeInterval)
-	for count := 0; ; count++ {
+	var last time.Time // of a surge that was reported
+	for count := 0; ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			if count%ticks == 0 || rel.meter.Surge() {
-				rel.report(ctx, &grp, count%(ticks*smallEvery) == 0)
+			rel.report(ctx, &grp, count%smallEvery == 0)
+			count++
+		case <-rel.surged:
+			pause := time.NewTimer(surgeInterval - time.Since(last))
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-pause.C:
 			}
+			rel.report(ctx, &grp, false)
+			last = time.Now()
 		}
 	}
 }
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -63,6 +63,7 @@
 	lane     *lane
 	own      *own
 	ranked   atomic.Pointer[pools]
+	surged   chan struct{} // a team asks for far more than usual
 	running  *running
 	leaving  atomic.Bool
 	draining atomic.Bool
@@ -83,6 +84,7 @@
 		running: newRunning(), retryShare: set.RetryShare, ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
 	}
 	rel.own = newOwn(set, clo, rel.lane)
+	rel.surged = make(chan struct{}, 1)
 	return rel
 }
 
@@ -255,7 +257,14 @@
 	if spec.Team == "" {
 		return nil
 	}
-	if ok, pause := rel.meter.Take(now, spec.Team); !ok {
+	ok, pause := rel.meter.Take(now, spec.Team)
+	if rel.meter.Surge() {
+		select {
+		case rel.surged <- struct{}{}:
+		default:
+		}
+	}
+	if !ok {
 		return refuse(core.ReasonRateExceeded, "team %q is above its rate", spec.Team).After(pause)
 	}
 	out.paid = true
