Answer the deadline, not a cancellation; retry shed calls further

Change: a cancellation while the sender still waits is answered as the deadline that it is (504). Calls that upstreams shed may ask up to three more hosts; such attempts do not use up the entry's attempts, because they ran nowhere. The share of retries counts the calls of the 10 s before when they are more, which is how the platform counts: the load falls when roots are refused, and with it the retries that would let the rest finish. Measured: TestTimeoutIsNoCancellation, TestShareFollowsLoadFromBefore and TestShedCallsAskFurtherHosts (the first and the last fail without the change).

--- a/core/coordination/relay/race.go
+++ b/core/coordination/relay/race.go
@@ -35,7 +35,7 @@
 
 func (rel *Relay) attempts(ctx context.Context, out *outgoing) (*core.Answer, error) {
 	rac := &race{
-		rel: rel, out: out, ratio: rel.ratio(out.service), results: make(chan result, maxHosts),
+		rel: rel, out: out, ratio: rel.ratio(out.service), results: make(chan result, maxHosts+maxShed),
 		flying: map[string]flight{},
 	}
 	if out.repeated() {
@@ -120,6 +120,9 @@
 	if !reached(ref) {
 		rac.out.arrived--
 	}
+	if ref.Reason() == core.ReasonShed {
+		rac.out.shed++
+	}
 	// The request has run if any of its attempts has, so an attempt that may have run decides the outcome.
 	undecided := rac.last == nil || core.AsRefusal(rac.last).Outcome() == core.OutcomeNotRun
 	if undecided || ref.Outcome() != core.OutcomeNotRun {
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -168,8 +168,12 @@
 
 	tried   []string
 	arrived int // attempts that may have reached an upstream, or may still do so
+	shed    int // those of them that upstreams refused to run
 }
 
+// most returns how many hosts may be asked.
+func (out *outgoing) most() int { return maxHosts + min(out.shed, maxShed) }
+
 func (out *outgoing) nested() bool { return out.parent != nil }
 
 // repeated says whether an upstream made the request while it ran a retry.
--- a/core/coordination/relay/relay_test.go
+++ b/core/coordination/relay/relay_test.go
@@ -53,13 +53,13 @@
 		}
 	}
 	dec, err := decl.Decode(encode(t, object{
-		"version": version, "classes": []object{class("confirm", 0), class("read", 2), class("lookup", 2)},
-		"services": []object{{"name": "orders", "routes": []object{}}, {"name": "stock", "routes": []object{}}},
+		"version": version, "classes": []object{class("confirm", 0), class("read", 2), class("lookup", 2), class("deep", 0)},
+		"services": []object{{"name": "orders", "routes": []object{}}, {"name": "stock", "routes": []object{}}, {"name": "deep", "routes": []object{}}},
 		"teams":    []object{{"name": "verona", "rate": 1000, "burst": 1000}}, "keys": keys,
 		"domains": []object{{"name": "a", "region": "r", "state": state}, {"name": "b", "region": "r", "state": "in"}},
 		"entries": []object{
 			entry("confirm", "/confirm/", "orders", false), entry("read", "/read/", "orders", true),
-			entry("lookup", "/stock/", "stock", true),
+			entry("lookup", "/stock/", "stock", true), entry("deep", "/deep/", "deep", true),
 		},
 	}))
 	if err != nil {
@@ -68,10 +68,14 @@
 	host := func(id, domain, service string) object {
 		return object{"id": id, "domain": domain, "service": service, "peer": id + ":7000", "state": "live", "slots": 20, "instance": "i-" + id}
 	}
-	lst, err := decl.DecodeHosts(encode(t, object{"version": version, "hosts": []object{
+	hosts := []object{
 		host(ownHost, "a", "orders"), host("10.0.0.2", "b", "orders"), host("10.0.0.3", "b", "orders"),
 		host("10.0.0.4", "a", "stock"), host("10.0.0.5", "b", "stock"),
-	}}))
+	}
+	for i := range 7 {
+		hosts = append(hosts, host(fmt.Sprintf("10.0.1.%d", i), "a", "deep"))
+	}
+	lst, err := decl.DecodeHosts(encode(t, object{"version": version, "hosts": hosts}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -522,3 +526,36 @@
 		}
 	}
 }
+
+// When the route's time is over, all contexts of a request end at once, and the attempt may see that as a cancellation.
+// A caller that still waits must be told of the deadline, with a server's status, and not that it has left.
+func TestTimeoutIsNoCancellation(t *testing.T) {
+	wor := &world{}
+	wor.forward = func(ctx context.Context, _ string, _ *core.Call) (*core.Answer, error) {
+		<-ctx.Done()
+		return nil, core.NewRefusal(core.ReasonCancelled, core.OutcomeUnknown, "the caller gave up")
+	}
+	rel := newRelay(t, wor)
+	_, err := rel.Enter(t.Context(), request("/stock/1", "r1", secret))
+	check(t, err, core.ReasonDeadline, core.OutcomeUnknown)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = rel.Enter(ctx, request("/stock/1", "r2", secret))
+	check(t, err, core.ReasonCancelled, core.OutcomeUnknown)
+}
+
+// Load pattern: all upstreams of a service shed half of their calls. A root with eight such calls needs more than three
+// attempts for some of them; attempts that upstreams refused to run do not use up the entry's attempts.
+func TestShedCallsAskFurtherHosts(t *testing.T) {
+	wor := &world{}
+	var calls atomic.Int64
+	wor.forward = func(context.Context, string, *core.Call) (*core.Answer, error) {
+		if calls.Add(1) < 5 {
+			return nil, core.NewRefusal(core.ReasonShed, core.OutcomeNotRun, "shed")
+		}
+		return ok()
+	}
+	if _, err := newRelay(t, wor).Enter(t.Context(), request("/deep/1", "r1", secret)); err != nil {
+		t.Errorf("after %d attempts: %v", calls.Load(), err)
+	}
+}
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -16,6 +16,10 @@
 	// maxHosts is how many hosts are asked for one request. A host that refuses before it has sent the call costs a
 	// round trip between nodes and nothing at the upstream.
 	maxHosts = 3
+	// maxShed is how many further hosts are asked when upstreams shed a call that had a place. While all upstreams of a
+	// service shed half of their calls, three of them lose one call in eight, and a root with eight such calls nearly
+	// always; the share of retries still bounds all of this.
+	maxShed = 3
 	// lowerRetries is the part of the retries for a service that ranks below the first may use. While an upstream sheds
 	// most calls, what is left lets the important roots finish instead of none.
 	lowerRetries = 0.5
@@ -32,8 +36,8 @@
 )
 
 // send makes attempts until one is answered or no other is allowed.
-func (rel *Relay) send(ctx context.Context, out *outgoing) (*core.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, out.root.Deadline())
+func (rel *Relay) send(caller context.Context, out *outgoing) (*core.Answer, error) {
+	ctx, cancel := context.WithDeadline(caller, out.root.Deadline())
 	if out.parent != nil {
 		// A nested call ends with the running call as well as with its own connection.
 		stop := context.AfterFunc(out.parent.ctx, cancel)
@@ -42,7 +46,13 @@
 	ans, err := rel.attempts(ctx, out)
 	if err != nil {
 		cancel()
-		return nil, rel.final(out, core.AsRefusal(err))
+		ref := core.AsRefusal(err)
+		if ref.Reason() == core.ReasonCancelled && caller.Err() == nil {
+			// The contexts of the attempts end by a cancellation when the one of the request ends by its deadline, or
+			// when the run that made it has ended. The sender still waits and has done nothing wrong.
+			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), "no answer came before the end of the request or of the run that made it").Wrap(ref)
+		}
+		return nil, rel.final(out, ref)
 	}
 	return core.NewAnswer(ans.Status(), ans.Header(), &closing{ans, cancel}, ans.Feedback), nil
 }
@@ -67,7 +77,7 @@
 	defer rel.mut.Unlock()
 	rat := rel.ratios[service]
 	if rat == nil {
-		rat = retry.NewRatio(rel.retryShare, 0)
+		rat = retry.NewRatio(rel.retryShare, 0).CountBefore()
 		rel.ratios[service] = rat
 	}
 	return rat
@@ -85,7 +95,7 @@
 
 // choose returns the host of the next attempt.
 func (rel *Relay) choose(out *outgoing) (string, bool) {
-	if len(out.tried) >= maxHosts {
+	if len(out.tried) >= out.most() {
 		return "", false
 	}
 	tried := out.tried
@@ -195,7 +205,7 @@
 
 // repeats says whether an attempt may be made beside or after one that may have reached an upstream, and counts it.
 func (rel *Relay) repeats(ctx context.Context, out *outgoing, ratio *retry.Ratio) bool {
-	if ctx.Err() != nil || !out.body.Whole() || out.arrived >= out.ent.Attempts() || len(out.tried) >= maxHosts {
+	if ctx.Err() != nil || !out.body.Whole() || out.arrived-out.shed >= out.ent.Attempts() || len(out.tried) >= out.most() {
 		return false
 	}
 	part := 1.0
--- a/core/state/retry/chain_test.go
+++ b/core/state/retry/chain_test.go
@@ -78,3 +78,38 @@
 		}
 	}
 }
+
+// Load pattern: upstreams shed most calls, so their callers refuse roots and send fewer calls. The retries that the rest
+// needs must follow the load from before for one window, and no longer: a service is overrun by retries at a load that
+// has gone for good.
+func TestShareFollowsLoadFromBefore(t *testing.T) {
+	rat := retry.NewRatio(0.1, 0).CountBefore()
+	now := time.Unix(1_700_000_000, 0)
+	seconds := func(count, calls int) (retries int) {
+		for range count {
+			now = now.Add(time.Second)
+			for range calls {
+				rat.Call(now)
+			}
+			for range calls + 100 {
+				if rat.Allow(now) {
+					retries++
+				}
+			}
+		}
+		return retries
+	}
+	if got := seconds(10, 1000); got > 1000 {
+		t.Errorf("%d retries for 10000 calls", got)
+	}
+	seconds(10, 0) // the retries of the first window leave the sum
+	now = now.Add(20 * time.Second)
+	seconds(10, 1000)
+	dropped := seconds(10, 100)
+	if dropped < 200 || dropped > 1000 {
+		t.Errorf("%d retries in the window after a drop from 1000 to 100 calls a second, want more than a tenth of the new calls and at most a tenth of the old ones", dropped)
+	}
+	if later := seconds(10, 100); later > 110 {
+		t.Errorf("%d retries in a later window for 1000 calls", later)
+	}
+}
--- a/core/state/retry/ratio.go
+++ b/core/state/retry/ratio.go
@@ -16,7 +16,7 @@
 	ChainPart = 0.6
 
 	windowSeconds = 10
-	ringSlots     = 16 // a power of two above windowSeconds
+	ringSlots     = 32 // a power of two above twice windowSeconds
 	countBits     = 32
 	countMask     = 1<<countBits - 1
 )
@@ -56,6 +56,7 @@
 type Ratio struct {
 	share   float64
 	floor   uint64
+	before  bool // the calls of the window before count when they are more
 	calls   ring
 	retries ring
 }
@@ -65,6 +66,22 @@
 	return &Ratio{share: share, floor: uint64(max(floor, 0))}
 }
 
+// CountBefore makes the bound a share of the calls in the last 10 seconds or in the 10 before, whichever are more: when
+// a failure makes callers send less, the retries that it needs are those of the usual load.
+func (rat *Ratio) CountBefore() *Ratio {
+	rat.before = true
+	return rat
+}
+
+// bound returns how many retries are allowed in the window that ends with sec.
+func (rat *Ratio) bound(sec uint64) float64 {
+	calls := rat.calls.sum(sec)
+	if rat.before && sec >= windowSeconds {
+		calls = max(calls, rat.calls.sum(sec-windowSeconds))
+	}
+	return rat.share * float64(calls)
+}
+
 // Call counts a call that is not a retry.
 func (rat *Ratio) Call(now time.Time) { rat.calls.add(second(now), 1) }
 
@@ -79,7 +96,7 @@
 // AllowPart is Allow with a smaller share of the bound, for retries that leave the rest to more important ones.
 func (rat *Ratio) AllowPart(now time.Time, part float64) bool {
 	sec := second(now)
-	if float64(rat.retries.sum(sec)+1) > part*rat.share*float64(rat.calls.sum(sec)) && rat.retries.sum(sec) >= uint64(part*float64(rat.floor)) {
+	if float64(rat.retries.sum(sec)+1) > part*rat.bound(sec) && rat.retries.sum(sec) >= uint64(part*float64(rat.floor)) {
 		return false
 	}
 	return rat.Allow(now)
@@ -92,7 +109,7 @@
 	if rat.retries.add(sec, 1) <= rat.floor {
 		return true
 	}
-	if float64(rat.retries.sum(sec)) <= rat.share*float64(rat.calls.sum(sec)) {
+	if float64(rat.retries.sum(sec)) <= rat.bound(sec) {
 		return true
 	}
 	rat.retries.add(sec, -1)
