--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -94,7 +94,7 @@
 	_, err = con.Write(head(req.Method, path, cli.base.Host, nil, 0))
 	var rsp *http.Response
 	if err == nil {
-		rsp, err = con.answer(req)
+		rsp, err = con.answer(req) //nolint:bodyclose // the connection is kept or closed as a whole
 	}
 	if err != nil {
 		con.drop()
@@ -271,7 +271,7 @@
 func (att *attempt) read() (*core.Answer, error) {
 	req := &http.Request{Method: att.call.Method()}
 	for skipped := 0; ; skipped++ {
-		rsp, err := att.con.answer(req)
+		rsp, err := att.con.answer(req) //nolint:bodyclose // the connection is kept or closed as a whole
 		if err != nil {
 			return nil, att.failure(err)
 		}
