Take the calls of the own upstream until it has finished, when a node stops

Cause: a stopping node waited for calls of peers only. When none was left it closed its port for callers, although its own upstream still worked on requests that had come to this very node; the calls that the upstream then made were refused, and it answered 500. Ruled out: the order of the steps; the port must close before the process ends, but not before the upstream is done. Change: relay.Finish waits for the running calls between the drain of the connections to peers and the close of the port.

--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -28,6 +28,7 @@
 	defaultSlots = 16
 	// configurationPause is when a caller may come back to a node that has just started.
 	configurationPause = 300 * time.Millisecond
+	finishPoll         = 10 * time.Millisecond
 )
 
 // Events of the log that every request or call may cause.
@@ -111,6 +112,20 @@
 // Drain makes the relay refuse calls of peers that have not started, so that they go to other hosts.
 func (rel *Relay) Drain() { rel.draining.Store(true) }
 
+// Finish waits until the own upstream has finished the calls that it works on. Until then it may make calls of its own.
+func (rel *Relay) Finish(ctx context.Context) error {
+	tick := time.NewTicker(finishPoll)
+	defer tick.Stop()
+	for !rel.running.empty() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("the upstream still works on calls; allow more time for the graceful shutdown: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
 // Load returns the calls at the own upstream and those that wait for it, divided by its places.
 func (rel *Relay) Load() float64 { return rel.lane.load() }
 
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -262,7 +262,7 @@
 	nod.relay.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), times.timeout)
 	defer cancel()
-	if err := errors.Join(nod.mesh.Drain(ctx), ingress.Shutdown(ctx)); err != nil {
+	if err := errors.Join(nod.mesh.Drain(ctx), nod.relay.Finish(ctx), ingress.Shutdown(ctx)); err != nil {
 		nod.log.WithError(err).Warn("graceful shutdown cut calls in progress; raise --drain-timeout")
 		return
 	}
