Copy headers once less on each side of a call between nodes

Change: headers that are end-to-end already are not copied again, received ones are stripped in place, and the buffer has the announced length.

--- a/core/state/body/body.go
+++ b/core/state/body/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 
 	"amaranthline/core"
 )
@@ -69,7 +70,14 @@
 
 // WholeStart reads the first part of an answer; the error says that the answer was cut short.
 func WholeStart(ans *core.Answer) (*core.Answer, error) {
-	start, err := io.ReadAll(io.LimitReader(ans.Body(), maxWhole))
+	// MinRead beyond the announced length lets the last read find the end without growing the buffer.
+	size := bytes.MinRead
+	if length, err := strconv.Atoi(ans.Header().Get("Content-Length")); err == nil && length >= 0 {
+		size = min(length, maxWhole) + bytes.MinRead
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size))
+	_, err := buf.ReadFrom(io.LimitReader(ans.Body(), maxWhole))
+	start := buf.Bytes()
 	if err != nil {
 		_ = ans.Body().Close()
 		return nil, err
--- a/io/protocol/wire/convert.go
+++ b/io/protocol/wire/convert.go
@@ -83,8 +83,11 @@
 
 // FromHeader returns the end-to-end headers as messages.
 func FromHeader(hdr http.Header) []*Header {
+	if !endToEnd(hdr) {
+		hdr = EndToEnd(hdr)
+	}
 	out := make([]*Header, 0, len(hdr))
-	for name, values := range EndToEnd(hdr) {
+	for name, values := range hdr {
 		out = append(out, &Header{Name: name, Values: values})
 	}
 	return out
@@ -97,7 +100,7 @@
 		name := http.CanonicalHeaderKey(item.GetName())
 		hdr[name] = append(hdr[name], item.GetValues()...)
 	}
-	return EndToEnd(hdr)
+	return strip(hdr)
 }
 
 // FromFeedback returns the message of a feedback.
--- a/io/protocol/wire/header.go
+++ b/io/protocol/wire/header.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"maps"
 	"net/http"
 	"strings"
 )
@@ -14,21 +15,35 @@
 // the ones that RFC 9110, section 7.6.1, lists, and the ones that Connection names. "TE: trailers" stays.
 func EndToEnd(hdr http.Header) http.Header {
 	out := make(http.Header, len(hdr))
-	for name, values := range hdr {
-		out[name] = values
-	}
+	maps.Copy(out, hdr)
+	return strip(out)
+}
+
+// strip removes the headers that belong to one connection from the map itself.
+func strip(hdr http.Header) http.Header {
+	trailers := acceptsTrailers(hdr["Te"])
 	for _, list := range hdr["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
+			hdr.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		delete(out, name)
+		delete(hdr, name)
+	}
+	if trailers {
+		hdr["Te"] = []string{"trailers"}
 	}
-	if acceptsTrailers(hdr["Te"]) {
-		out["Te"] = []string{"trailers"}
+	return hdr
+}
+
+// endToEnd says whether no header belongs to one connection.
+func endToEnd(hdr http.Header) bool {
+	for _, name := range hopByHop {
+		if _, ok := hdr[name]; ok {
+			return false
+		}
 	}
-	return out
+	return true
 }
 
 func acceptsTrailers(values []string) bool {
