Cancel calls of a lane also when they have not been written yet

Cause: found in the read-through: a caller that left while its call waited in the outbox sent no cancellation, and the call was written all the same; the upstream then worked for nobody until the deadline. Change: the cancellation is queued behind the call in every case.

--- a/io/transport/mesh/lane.go
+++ b/io/transport/mesh/lane.go
@@ -358,8 +358,9 @@
 // finish releases the call; the peer stops its work when the answer is still due.
 func (pen *pending) finish() {
 	pen.once.Do(func() {
-		if pen.number != 0 && pen.ses.lane.leave(pen) && pen.sent.Load() {
-			_ = pen.ses.lane.box.add(&wire.LaneCancel{Number: pen.number}, nil) // a lane that has ended needs none
+		if pen.number != 0 && pen.ses.lane.leave(pen) {
+			// Also when the call waits to be written, because it will be. A lane that has ended needs none.
+			_ = pen.ses.lane.box.add(&wire.LaneCancel{Number: pen.number}, nil)
 		}
 		pen.cancel()
 		pen.ses.end()
--- a/io/transport/mesh/lane_test.go
+++ b/io/transport/mesh/lane_test.go
@@ -8,11 +8,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"amaranthline/core"
 	"amaranthline/io/protocol/wire"
+	"amaranthline/io/transport/mesh"
 )
 
 // Short calls of one connection share a stream. A long answer whose caller does not read on must not hold up the others,
@@ -132,3 +134,33 @@
 		}
 	}
 }
+
+// A caller may leave before its call has been written. The call still goes out, so its cancellation must follow it;
+// else an upstream works for nobody until the deadline.
+func TestCallsLeftAtOnceEndAtServer(t *testing.T) {
+	const calls = 500
+	var running atomic.Int64
+	two := start(t, "h2", func(ctx context.Context, _ *core.Call) (*core.Answer, error) {
+		running.Add(1)
+		defer running.Add(-1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}, nil)
+	one := start(t, "h1", echo, nil)
+	link(one, "h2", two.Addr(), "h2")
+	one.await(t, mesh.EventOpened, 1)
+	var grp sync.WaitGroup
+	for i := range calls {
+		ctx, cancel := context.WithCancel(t.Context())
+		grp.Go(func() { _ = forward(ctx, one, "h2", newCall(fmt.Sprint(i))) })
+		grp.Go(func() {
+			time.Sleep(time.Duration(i%20) * 10 * time.Microsecond)
+			cancel()
+		})
+	}
+	grp.Wait()
+	time.Sleep(500 * time.Millisecond)
+	if left := running.Load(); left > 0 {
+		t.Errorf("%d calls still run for callers that have gone", left)
+	}
+}
