--- a/io/side/notes.go
+++ b/io/side/notes.go
@@ -42,7 +42,7 @@
 
 // Note writes one line unless the event has used up its rate.
 func (not *Notes) Note(event, call string, fields map[string]any) {
-	if !not.allow(event) {
+	if !not.allow(event, 1) {
 		return
 	}
 	ent := not.log.WithFields(fields)
@@ -53,17 +53,10 @@
 }
 
 // Wants says whether a line of the event would be written now, and counts it as left out if not.
-func (not *Notes) Wants(event string) bool {
-	not.mut.Lock()
-	defer not.mut.Unlock()
-	alw := not.fill(event)
-	if alw.tokens < 1 {
-		alw.omitted++
-	}
-	return alw.tokens >= 1
-}
+func (not *Notes) Wants(event string) bool { return not.allow(event, 0) }
 
-func (not *Notes) allow(event string) bool {
+// allow takes so many lines of an event's rate if there is one, and counts a line as left out if not.
+func (not *Notes) allow(event string, lines float64) bool {
 	not.mut.Lock()
 	defer not.mut.Unlock()
 	alw := not.fill(event)
@@ -71,7 +64,7 @@
 		alw.omitted++
 		return false
 	}
-	alw.tokens--
+	alw.tokens -= lines
 	return true
 }
 
