--- a/core/coordination/relay/lane.go
+++ b/core/coordination/relay/lane.go
@@ -36,14 +36,14 @@
 	lan.grant(now)
 	ver := lan.stage.Arrive(now, cal)
 	cold := lan.stage.Cold(now)
+	if cold > 0 {
+		lan.pace()
+	}
 	lan.mut.Unlock()
 	switch ver {
 	case stage.Run:
 		return nil
 	case stage.Wait:
-		if cold > 0 {
-			lan.pace()
-		}
 		return lan.wait(ctx, cal, wai)
 	case stage.Cold:
 		return refusal(ver).After(cold)
@@ -116,25 +116,19 @@
 	}
 }
 
-// pace grants places that become free by time alone, until no call waits.
+// pace grants places that become free by time alone, until no call waits. The caller holds the lock.
 func (lan *lane) pace() {
-	lan.mut.Lock()
-	defer lan.mut.Unlock()
-	if !lan.pacing {
-		lan.pacing = true
-		time.AfterFunc(grantInterval, lan.tick)
+	if lan.pacing || lan.stage.Waiting() == 0 {
+		return
 	}
-}
-
-func (lan *lane) tick() {
-	lan.mut.Lock()
-	lan.grant(lan.clock.Now())
-	lan.pacing = false
-	again := lan.stage.Waiting() > 0
-	lan.mut.Unlock()
-	if again {
+	lan.pacing = true
+	time.AfterFunc(grantInterval, func() {
+		lan.mut.Lock()
+		defer lan.mut.Unlock()
+		lan.pacing = false
+		lan.grant(lan.clock.Now())
 		lan.pace()
-	}
+	})
 }
 
 func (lan *lane) setSlots(slots int) {
@@ -147,10 +141,7 @@
 	lan.mut.Lock()
 	defer lan.mut.Unlock()
 	lan.stage.SetCold(until, rate)
-	if !lan.pacing && lan.stage.Waiting() > 0 {
-		lan.pacing = true
-		time.AfterFunc(grantInterval, lan.tick)
-	}
+	lan.pace()
 }
 
 func (lan *lane) expected() (expected, step time.Duration) {
--- a/core/coordination/relay/relay.go
+++ b/core/coordination/relay/relay.go
@@ -82,10 +82,9 @@
 	rel := &Relay{
 		set: set, clock: clo, table: place.New(rand.New(rand.NewPCG(set.Random.Uint64(), set.Random.Uint64()))), //nolint:gosec // no secret
 		splitter: split.New(), meter: meter.New(), divider: meter.NewDivider(), lane: newLane(clo),
-		running: newRunning(), retryShare: set.RetryShare, ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
+		running: newRunning(), surged: make(chan struct{}, 1), retryShare: set.RetryShare, ratios: map[string]*retry.Ratio{}, hedges: map[string]*hedge.Timer{}, rng: lockedRand{rng: set.Random},
 	}
 	rel.own = newOwn(set, clo, rel.lane)
-	rel.surged = make(chan struct{}, 1)
 	return rel
 }
 
--- a/core/state/place/place.go
+++ b/core/state/place/place.go
@@ -87,9 +87,9 @@
 }
 
 // Pick returns the best candidate that has not been tried, or false. The candidates are in the caller's order of
-// preference, which matters in a large service only. A host in another failure domain must be expected
-// to answer sooner by more than remote. A host that cannot be reached is chosen only when there is no other and it
-// is not asked again, after a first attempt; hosts that leave are not chosen.
+// preference, which matters in a large service only. A host in another failure domain must be expected to answer sooner
+// by more than remote. A host that cannot be reached is chosen only when there is no other, and not for a further attempt
+// (again); hosts that leave are not chosen.
 func (tab *Table) Pick(now time.Time, cans []Candidate, tried []string, again bool, remote time.Duration) (string, bool) {
 	tab.mut.Lock()
 	defer tab.mut.Unlock()
