Take the size of a lane's outbox from its writer; make the candidates a plain map

No change of behaviour. Each frame's size was worked out a second time under the outbox's lock, only to keep a sum that the writer's buffer already holds; the bound now counts the frame prefixes too.

--- a/core/coordination/relay/pools.go
+++ b/core/coordination/relay/pools.go
@@ -6,14 +6,12 @@
 )
 
 // pools are the candidates for each service in this host's order of preference, as one snapshot shows them.
-type pools struct {
-	list map[string][]place.Candidate
-}
+type pools map[string][]place.Candidate
 
 // newPools ranks the hosts of each service by rendezvous hashing: each host prefers others, and a change of the list
 // moves few of them. Hosts that leave and those of failure domains that are out are no candidates.
 func newPools(set Settings, sna *decl.Snapshot) *pools {
-	poo := &pools{list: map[string][]place.Candidate{}}
+	poo := pools{}
 	ids := map[string][]string{}
 	for _, hos := range sna.Hosts().All() {
 		if dom := sna.Domain(hos.Domain()); !hos.Leaving() && (dom == nil || !dom.Out()) {
@@ -23,14 +21,12 @@
 	for service, list := range ids {
 		for _, id := range decl.Ranked(set.Host+"/"+service, list) {
 			local := sna.Hosts().Host(id).Domain() == set.Domain
-			poo.list[service] = append(poo.list[service], place.NewCandidate(id, local))
+			poo[service] = append(poo[service], place.NewCandidate(id, local))
 		}
 	}
-	return poo
+	return &poo
 }
 
-func (poo *pools) of(service string) []place.Candidate { return poo.list[service] }
-
 // pools returns the candidates of a snapshot. A request that began with an older snapshot finds the newest one.
 func (rel *Relay) pools(sna *decl.Snapshot) *pools {
 	if poo := rel.ranked.Load(); poo != nil {
@@ -48,7 +44,7 @@
 		return nil
 	}
 	var out []string
-	for _, cans := range poo.list {
+	for _, cans := range *poo {
 		for _, can := range place.Preferred(cans) {
 			if can.ID() != rel.set.Host {
 				out = append(out, can.ID())
--- a/core/coordination/relay/send.go
+++ b/core/coordination/relay/send.go
@@ -106,7 +106,7 @@
 	if out.nested() {
 		share = remoteNested
 	}
-	cans := rel.pools(out.sna).of(out.service)
+	cans := (*rel.pools(out.sna))[out.service]
 	return rel.table.Pick(rel.clock.Now(), cans, tried, len(out.tried) > 0, seconds(out.target.Seconds()*share))
 }
 
--- a/io/protocol/wire/frame.go
+++ b/io/protocol/wire/frame.go
@@ -343,6 +343,9 @@
 	return protowire.AppendVarint(buf, uint64(inner))
 }
 
+// Buffered returns the bytes of the collected frames.
+func (wri *Writer) Buffered() int { return len(*wri.buf) }
+
 // Flush writes the collected frames in one call.
 func (wri *Writer) Flush() error {
 	if len(*wri.buf) == 0 {
--- a/io/transport/mesh/lane.go
+++ b/io/transport/mesh/lane.go
@@ -39,7 +39,6 @@
 	mut     sync.Mutex
 	filling *wire.Writer
 	other   *wire.Writer
-	held    int // bytes in filling, about
 	calls   []*pending
 	settled int // calls of the peer whose last frame is in filling
 	ended   bool
@@ -61,13 +60,12 @@
 	switch {
 	case box.ended:
 		return errLaneEnded
-	case pen != nil && box.held > maxOutbox:
+	case pen != nil && box.filling.Buffered() > maxOutbox:
 		return core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "the peer does not read what waits for it")
 	}
 	if err := box.filling.Append(msg); err != nil {
 		return err
 	}
-	box.held += proto.Size(msg)
 	if pen != nil {
 		box.calls = append(box.calls, pen)
 	}
@@ -114,7 +112,7 @@
 			box.calls[i] = nil
 		}
 		settled := box.settled
-		box.calls, box.held, box.settled = box.calls[:0], 0, 0
+		box.calls, box.settled = box.calls[:0], 0
 		box.mut.Unlock()
 		err := wri.Flush()
 		box.release(settled)
