Tell callers above their team's rate when there are tokens for them

Cause: a host that was granted too few tokens refused all requests of the team for 250 ms and told callers to return after up to 2 s, also in a fleet of 13 hosts whose requests for tokens cost nothing. Change: the granter names the time at which there is a token for each refused caller, in the order of refusals; hosts ask again at once and pause only where more than 400 requests for tokens of a team arrive per second. Ruled out: reserving tokens for those who return: the granter cannot tell them from new callers.

--- a/core/coordination/proxy/rates.go
+++ b/core/coordination/proxy/rates.go
@@ -181,18 +181,18 @@
 	if !ok {
 		return rate.Grant{}, fmt.Errorf("host %q replied to a request for tokens with %T; run the same version on all hosts", host, reply)
 	}
-	return rate.NewGrant(int(gra.GetTokens()), gra.GetLoad(), time.Duration(gra.GetPauseNanos())), nil
+	return rate.NewGrant(int(gra.GetTokens()), gra.GetLoad(), time.Duration(gra.GetPauseNanos()), time.Duration(gra.GetRetryAfterNanos())), nil
 }
 
 // grantTokens takes tokens of a team from the bucket of this host.
 func (prx *Proxy) grantTokens(team string, ask rate.Ask) rate.Grant {
 	sna := prx.settings.Snapshot()
 	if sna == nil {
-		return rate.NewGrant(0, 0, noConfigurationRetryAfter)
+		return rate.NewGrant(0, 0, noConfigurationRetryAfter, noConfigurationRetryAfter)
 	}
 	tea := sna.Team(team)
 	if tea == nil || tea.Unlimited() {
-		return rate.NewGrant(ask.Wanted(), 0, 0)
+		return rate.NewGrant(ask.Wanted(), 0, 0, 0)
 	}
 	fraction := prx.reachableFraction(sna)
 	return prx.granter.Grant(prx.clock.Now(), rate.GrantSpec{
@@ -219,7 +219,7 @@
 }
 
 func tokenGrant(gra rate.Grant) *wire.TokenGrant {
-	return &wire.TokenGrant{Tokens: int64(gra.Tokens()), Load: gra.Load(), PauseNanos: int64(gra.Pause())}
+	return &wire.TokenGrant{Tokens: int64(gra.Tokens()), Load: gra.Load(), PauseNanos: int64(gra.Pause()), RetryAfterNanos: int64(gra.RetryAfter())}
 }
 
 // setRateHosts applies the teams and hosts of a new configuration to the rates.
--- a/core/state/rate/granter.go
+++ b/core/state/rate/granter.go
@@ -28,11 +28,14 @@
 	gapTokens = 2
 	// takeoverGap is the time without requests after which a host that stands in for the granter starts anew.
 	takeoverGap = 2 * time.Second
-	// A host that was granted too few tokens for the requests that wait asks again after minPause, or after a longer time, up to maxPause, where
-	// more than askRate requests for tokens of the team would arrive per second.
-	minPause = 250 * time.Millisecond
-	maxPause = time.Second
+	// A host that was granted too few tokens for the requests that wait asks again with the next one or, where more than
+	// askRate requests for tokens of the team arrive per second, after a pause of up to maxPause.
 	askRate  = 400.0
+	askPause = 250 * time.Millisecond
+	minPause = time.Millisecond
+	maxPause = time.Second
+	// maxRetryAfter is the longest time until a refused caller is told to return. Callers keep to shorter ones only.
+	maxRetryAfter = time.Second
 	// minRate keeps calculations finite for a team with a rate of 0.
 	minRate = 1e-9 // requests per second
 )
@@ -47,15 +50,16 @@
 
 // Grant is the reply to a request for tokens.
 type Grant struct {
-	tokens int
-	load   float64
-	pause  time.Duration
+	tokens     int
+	load       float64
+	pause      time.Duration
+	retryAfter time.Duration
 }
 
-// NewGrant returns a grant; load is the rate at which tokens of the team are granted, divided by the team's rate, and
-// pause is how long the asking host refuses further requests.
-func NewGrant(tokens int, load float64, pause time.Duration) Grant {
-	return Grant{tokens: tokens, load: load, pause: pause}
+// NewGrant returns a grant; load is the rate at which tokens of the team are granted, divided by the team's rate, pause
+// is how long the asking host refuses further requests, and retryAfter when a refused caller should return.
+func NewGrant(tokens int, load float64, pause, retryAfter time.Duration) Grant {
+	return Grant{tokens: tokens, load: load, pause: pause, retryAfter: retryAfter}
 }
 
 // Tokens returns how many requests the asking host may admit.
@@ -68,6 +72,10 @@
 // requests that wait.
 func (gra Grant) Pause() time.Duration { return gra.pause }
 
+// RetryAfter returns the time until there is a token for the first caller that is refused; the next ones are to return
+// at the rate of the team.
+func (gra Grant) RetryAfter() time.Duration { return gra.retryAfter }
+
 // teamBucket is the token bucket of a team at its granter.
 type teamBucket struct {
 	tokens     float64
@@ -77,6 +85,7 @@
 	asked      meter         // requests for tokens
 	demand     meter         // requests of all hosts
 	granted    meter
+	promisedTo time.Time     // until when tokens are expected to go to callers that were told to return
 	spare      []spareTokens // granted within the last tokenLifetime, the oldest first
 }
 
@@ -173,8 +182,19 @@
 	buc.asked.count(now, 1)
 	buc.granted.count(now, count)
 	gra := Grant{tokens: count, load: buc.granted.rate(now) / max(spec.Rate, minRate)}
-	if count < ask.wanted-ask.spare {
-		gra.pause = min(time.Duration(float64(minPause)*max(1, buc.asked.rate(now)/askRate)), maxPause)
+	if refused := ask.wanted - ask.spare - count; refused > 0 {
+		perToken := time.Duration(float64(time.Second) / max(spec.Rate, minRate))
+		nextToken := time.Duration((1 - buc.tokens) * float64(perToken))
+		gra.pause = min(max(minPause, time.Duration(float64(askPause)*(buc.asked.rate(now)/askRate-1))), maxPause)
+		if earliest := now.Add(nextToken); buc.promisedTo.Before(earliest) {
+			buc.promisedTo = earliest
+		}
+		gra.retryAfter = min(buc.promisedTo.Sub(now), maxRetryAfter)
+		// Callers return one after the other at the rate of the tokens.
+		buc.promisedTo = buc.promisedTo.Add(time.Duration(refused) * min(perToken, maxRetryAfter))
+		if latest := now.Add(maxRetryAfter); buc.promisedTo.After(latest) {
+			buc.promisedTo = latest
+		}
 	}
 	return gra
 }
--- a/core/state/rate/limiter.go
+++ b/core/state/rate/limiter.go
@@ -11,8 +11,6 @@
 	prefetchTime = 250 * time.Millisecond
 	// tokenLifetime is how long after its request for tokens a host may use them; then it gives them back.
 	tokenLifetime = 250 * time.Millisecond
-	// maxRetryAfter is the longest time until a refused caller is told to return. Callers keep to shorter ones only.
-	maxRetryAfter = 2 * time.Second
 	// meterInterval is the time constant of the measured rates.
 	meterInterval = time.Second
 	// minLoad is the lowest load of a team that a host assumes without contact to a granter: its part of the rate grows
@@ -62,7 +60,8 @@
 	admitted     meter
 	load         float64   // of the team at all hosts, as the last granter reported
 	refusedUntil time.Time // no granter is asked until then
-	returnAt     time.Time // when the caller refused last was told to return
+	returnAt     time.Time // when the next refused caller is told to return
+	promised     int       // callers for whom the granter expects tokens from returnAt on
 
 	// Without contact to a granter, a host uses a token bucket of its own part of the rate.
 	contactless       bool
@@ -172,21 +171,17 @@
 	tok.admitted.count(now, count)
 }
 
-// retryAfter returns when one more refused caller should return: callers return one after the other at the rate at which
-// this host gets tokens.
+// retryAfter returns when one more refused caller should return. The callers for whom the granter expects tokens return
+// one after the other at the team's rate, further ones at the rate at which this host gets tokens.
 func (tok *tokens) retryAfter(now time.Time) time.Duration {
-	hostRate := max(tok.admitted.rate(now), tok.evenShare, 1/maxRetryAfter.Seconds())
-	first := now
-	for _, at := range []time.Time{tok.refusedUntil, tok.returnAt} {
-		if at.After(first) {
-			first = at
-		}
-	}
-	tok.returnAt = first.Add(time.Duration(float64(time.Second) / hostRate))
-	if latest := now.Add(maxRetryAfter); tok.returnAt.After(latest) {
-		tok.returnAt = latest
+	retryAfter := min(max(tok.returnAt.Sub(now), tok.refusedUntil.Sub(now), 0), maxRetryAfter)
+	perSecond := max(tok.admitted.rate(now), tok.evenShare)
+	if tok.promised > 0 {
+		tok.promised--
+		perSecond = tok.rate
 	}
-	return tok.returnAt.Sub(now)
+	tok.returnAt = now.Add(retryAfter + time.Duration(float64(time.Second)/max(perSecond, 1/maxRetryAfter.Seconds())))
+	return retryAfter
 }
 
 // Ask returns the request for tokens of a team while a number of requests wait for one.
@@ -222,7 +217,7 @@
 		tok.expireAt = tok.askedAt.Add(tokenLifetime)
 	}
 	if gra.pause > 0 {
-		tok.refusedUntil = now.Add(gra.pause)
+		tok.refusedUntil, tok.returnAt, tok.promised = now.Add(gra.pause), now.Add(gra.retryAfter), waiting-count
 	}
 	return count
 }
--- a/core/state/rate/rate_test.go
+++ b/core/state/rate/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -197,7 +198,7 @@
 	lim := rate.New()
 	lim.SetRate(team, 100, 10)
 	lim.Ask(start, team, 1)
-	lim.Receive(start, team, rate.NewGrant(3, 0.1, 0), 1)
+	lim.Receive(start, team, rate.NewGrant(3, 0.1, 0, 0), 1)
 	lim.Refund(team)
 	if dec, _ := lim.Take(start.Add(5*time.Second), team); dec != rate.NeedsToken {
 		t.Errorf("a token was used after its time: decision %d", dec)
@@ -210,18 +211,39 @@
 	}
 }
 
-// Guards against callers of a team above its rate who are all told to return at the same moment: they are spread at the
-// rate at which the host gets tokens.
+// Guards against callers of a team above its rate who are all told to return at the same moment, or when there are no
+// tokens for them: 60 callers arrive at once at five hosts, and of those who are refused nearly all are served when they
+// return.
 func TestRefusedCallersReturnInTurn(t *testing.T) {
-	lim := rate.New()
-	lim.SetRate(team, 100, 10) // 10 per second at each host
-	lim.Receive(start, team, rate.NewGrant(0, 1, 250*time.Millisecond), 0)
-	last := time.Duration(0)
-	for range 10 {
-		_, retryAfter := lim.Take(start, team)
-		if gap := retryAfter - last; last > 0 && gap < 90*time.Millisecond {
-			t.Errorf("a caller is told to return %v after the one before, want 100ms", gap)
+	const teamRate, burst, hostCount, callersPerHost = 100.0, 10.0, 5, 12
+	grr := rate.NewGranter()
+	spec := rate.GrantSpec{Team: team, Rate: teamRate, Burst: burst, Since: start.Add(-time.Minute)}
+	send := func(now time.Time, lim *rate.Limiter, callers int) int {
+		grr.Advance(now, true)
+		for range callers {
+			lim.Take(now, team)
+		}
+		return lim.Receive(now, team, grr.Grant(now, spec, lim.Ask(now, team, callers)), callers)
+	}
+	type caller struct {
+		host *rate.Limiter
+		at   time.Time
+	}
+	var refused []caller
+	grr.Advance(start, true)
+	for range hostCount {
+		lim := rate.New()
+		lim.SetRate(team, teamRate, hostCount)
+		for range callersPerHost - send(start, lim, callersPerHost) {
+			refused = append(refused, caller{lim, start.Add(lim.RetryAfter(start, team))})
 		}
-		last = retryAfter
+	}
+	slices.SortStableFunc(refused, func(one, two caller) int { return one.at.Compare(two.at) })
+	served := 0
+	for _, one := range refused {
+		served += send(one.at, one.host, 1)
+	}
+	if served < len(refused)*9/10 {
+		t.Errorf("%d of %d callers who returned when told to were served, want 90%%", served, len(refused))
 	}
 }
