End calls whose upstream sends interim answers without end

Cause: the bound on the head of an answer started anew with each 1xx answer, so a call read them until its deadline and kept a processor busy meanwhile. Change: the heads of all interim answers and of the answer share one bound. Measured: TestBytesWithoutEnd plays ten streams without end over real connections; the two cases of interim answers lasted until the deadline (500 ms) before and fail at once now. The other eight, among them status line, header line, body beyond its length, chunks, trailer and body without length, already ended in time with memory bounded and a clean next connection. Ruled out: a count of interim answers; their size matters too.

--- a/io/transport/back/conn.go
+++ b/io/transport/back/conn.go
@@ -27,7 +27,7 @@
 )
 
 // errHeadTooLong reports that the head of an answer is longer than maxHeaderBytes.
-var errHeadTooLong = errors.New("the head of the upstream's answer is longer than 32 KiB; shorten the headers that the upstream sends")
+var errHeadTooLong = errors.New("the head of the upstream's answer, with interim answers before it, is longer than 32 KiB; shorten the headers that the upstream sends")
 
 // pool keeps connections to one upstream. It replaces net/http's client, which hands each request to two other
 // goroutines and may send a request again by itself. Here the goroutine of the call writes and reads, except for long
@@ -213,12 +213,13 @@
 	return 0
 }
 
-// readResponse reads the next answer and skips interim (1xx) ones.
+// readResponse reads the next answer and skips interim (1xx) ones, whose heads count towards maxHeaderBytes: an upstream
+// may send them without end.
 func (con *conn) readResponse(req *http.Request) (*http.Response, error) {
+	con.headBytesLeft = maxHeaderBytes
+	defer func() { con.headBytesLeft = -1 }()
 	for {
-		con.headBytesLeft = maxHeaderBytes
 		rsp, err := http.ReadResponse(con.reader, req)
-		con.headBytesLeft = -1
 		if err != nil {
 			return nil, err
 		}
