--- a/core/state/rate/granter.go
+++ b/core/state/rate/granter.go
@@ -48,7 +48,8 @@
 	Since time.Time // since when this host is the first in the order of granters; zero if it only stands in
 }
 
-// Grant is the reply to a request for tokens.
+// Grant is the reply to a request for tokens. Its load is the rate at which tokens of the team are granted, divided by
+// the team's rate.
 type Grant struct {
 	tokens     int
 	load       float64
@@ -56,8 +57,7 @@
 	retryAfter time.Duration
 }
 
-// NewGrant returns a grant; load is the rate at which tokens of the team are granted, divided by the team's rate, pause
-// is how long the asking host refuses further requests, and retryAfter when a refused caller should return.
+// NewGrant returns a grant whose fields are those of the accessors of the same names.
 func NewGrant(tokens int, load float64, pause, retryAfter time.Duration) Grant {
 	return Grant{tokens: tokens, load: load, pause: pause, retryAfter: retryAfter}
 }
@@ -68,8 +68,8 @@
 // Load returns the rate at which tokens of the team are granted, divided by the team's rate.
 func (gra Grant) Load() float64 { return gra.load }
 
-// Pause returns how long the asking host refuses further requests; it is zero if the grant covers the
-// requests that wait.
+// Pause returns how long the asking host refuses further requests; it is zero if the grant covers the requests that
+// wait.
 func (gra Grant) Pause() time.Duration { return gra.pause }
 
 // RetryAfter returns the time until there is a token for the first caller that is refused; the next ones are to return
@@ -112,7 +112,7 @@
 type Granter struct {
 	mut        sync.Mutex
 	buckets    map[string]*teamBucket
-	active     time.Duration // time in which this process ran and was in contact with other hosts
+	active     time.Duration // time in which this process ran
 	advancedAt time.Time
 	resumedAt  time.Time // end of the last time in which the process did not run or had no contact
 }
@@ -131,15 +131,15 @@
 	}
 }
 
-// Advance must be called each AdvanceInterval. The time in which it was not called, because the process did not run, or
-// in which the host was not in contact with the others, does not refill the buckets, and after it they are nearly empty:
-// another host stood in.
+// Advance must be called each AdvanceInterval. After a time in which it was not called, because the process did not run,
+// or in which the host was not in contact with the others, the buckets are nearly empty, since another host stood in.
 func (grr *Granter) Advance(now time.Time, inContact bool) {
 	grr.mut.Lock()
 	defer grr.mut.Unlock()
 	grr.advance(now, inContact)
 }
 
+// advance is Advance for callers that hold the lock.
 func (grr *Granter) advance(now time.Time, inContact bool) {
 	grr.active = grr.activeTime(now)
 	if !inContact || now.Sub(grr.advancedAt) > maxAdvanceGap {
@@ -164,16 +164,8 @@
 	if buc.refilledAt.Before(grr.resumedAt) {
 		buc.tokens = min(buc.tokens, spec.startTokens())
 	}
-	capacity := max(1, spec.Burst-float64(buc.sparesOut(now)))
-	elapsed := max(grr.activeTime(now)-buc.refilledTo, 0).Seconds()
 	buc.demand.count(now, ask.arrived)
-	factor := rateFactor(buc.demand.rate(now) / max(spec.Rate, minRate))
-	if !buc.lead {
-		factor = minRateFactor // the first host may still be granting to hosts that cannot reach this one
-		elapsed = min(elapsed, max(maxGap.Seconds(), gapTokens/max(spec.Rate, minRate)))
-	}
-	buc.tokens = min(buc.tokens+elapsed*spec.Rate*factor+float64(ask.unused), capacity)
-	buc.refilledAt, buc.refilledTo = now, grr.activeTime(now)
+	grr.refill(now, buc, spec, ask.unused)
 	count := min(ask.wanted, max(int(buc.tokens), 0))
 	buc.tokens -= float64(count)
 	if spare := ask.spare - (ask.wanted - count); spare > 0 {
@@ -183,22 +175,41 @@
 	buc.granted.count(now, count)
 	gra := Grant{tokens: count, load: buc.granted.rate(now) / max(spec.Rate, minRate)}
 	if refused := ask.wanted - ask.spare - count; refused > 0 {
-		perToken := time.Duration(float64(time.Second) / max(spec.Rate, minRate))
-		nextToken := time.Duration((1 - buc.tokens) * float64(perToken))
 		gra.pause = min(max(minPause, time.Duration(float64(askPause)*(buc.asked.rate(now)/askRate-1))), maxPause)
-		if earliest := now.Add(nextToken); buc.promisedTo.Before(earliest) {
-			buc.promisedTo = earliest
-		}
-		gra.retryAfter = min(buc.promisedTo.Sub(now), maxRetryAfter)
-		// Callers return one after the other at the rate of the tokens.
-		buc.promisedTo = buc.promisedTo.Add(time.Duration(refused) * min(perToken, maxRetryAfter))
-		if latest := now.Add(maxRetryAfter); buc.promisedTo.After(latest) {
-			buc.promisedTo = latest
-		}
+		gra.retryAfter = buc.promise(now, spec.Rate, refused)
 	}
 	return gra
 }
 
+// refill adds the tokens of the time since the last request, and those that were given back. The caller holds the lock.
+func (grr *Granter) refill(now time.Time, buc *teamBucket, spec GrantSpec, unused int) {
+	active := grr.activeTime(now)
+	elapsed := max(active-buc.refilledTo, 0).Seconds()
+	factor := rateFactor(buc.demand.rate(now) / max(spec.Rate, minRate))
+	if !buc.lead {
+		factor = minRateFactor // the first host may still be granting to hosts that cannot reach this one
+		elapsed = min(elapsed, max(maxGap.Seconds(), gapTokens/max(spec.Rate, minRate)))
+	}
+	capacity := max(1, spec.Burst-float64(buc.sparesOut(now)))
+	buc.tokens = min(buc.tokens+elapsed*spec.Rate*factor+float64(unused), capacity)
+	buc.refilledAt, buc.refilledTo = now, active
+}
+
+// promise returns when the first of some refused callers should return. Callers return one after the other at the rate
+// of the tokens, those refused earlier first.
+func (buc *teamBucket) promise(now time.Time, teamRate float64, refused int) time.Duration {
+	perToken := time.Duration(float64(time.Second) / max(teamRate, minRate))
+	if earliest := now.Add(time.Duration((1 - buc.tokens) * float64(perToken))); buc.promisedTo.Before(earliest) {
+		buc.promisedTo = earliest
+	}
+	retryAfter := min(buc.promisedTo.Sub(now), maxRetryAfter)
+	buc.promisedTo = buc.promisedTo.Add(time.Duration(refused) * min(perToken, maxRetryAfter))
+	if latest := now.Add(maxRetryAfter); buc.promisedTo.After(latest) {
+		buc.promisedTo = latest
+	}
+	return retryAfter
+}
+
 // rateFactor returns by what factor more than a team's rate is granted; load is the demand divided by the rate.
 func rateFactor(load float64) float64 {
 	excess := min(max(load-1, 0)/excessAtMinFactor, 1)
