Watch the platform from one host of each of many failure domains

Change: from four failure domains on, one host of each watches; a second one joins while no read of the platform by any node is known for four seconds, as when a domain is cut off together with a watcher that cannot reach the platform. Ruled out: one watcher also with three domains: too few others are left when it stops.

--- a/core/coordination/gossip/overlay.go
+++ b/core/coordination/gossip/overlay.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	localNeighbours    = 4               // hosts of the local failure domain
-	remoteNeighbours   = 2               // hosts of other failure domains
-	watchersPerDomain  = 2               // hosts that watch the platform in each failure domain
-	maxWatchCandidates = 8               // hosts of a failure domain that may become watchers
-	maxRanked          = 16              // hosts kept of each ranking, local and remote, as replacements for failed neighbours
-	recheckAfter       = 5 * time.Second // time from the failure of a host until it is tried again
+	localNeighbours  = 4 // hosts of the local failure domain
+	remoteNeighbours = 2 // hosts of other failure domains
+	// minDomainsForOneWatcher is the number of failure domains from which one host of each domain watches the platform.
+	// With fewer domains two do, because too few other watchers are left when one of them stops.
+	minDomainsForOneWatcher = 4
+	maxWatchCandidates      = 8               // hosts of a failure domain that may become watchers
+	maxRanked               = 16              // hosts kept of each ranking, local and remote, as replacements for failed neighbours
+	recheckAfter            = 5 * time.Second // time from the failure of a host until it is tried again
 )
 
 // Overlay chooses the neighbours of a node, and the hosts that watch the platform for its failure domain. Both choices
@@ -22,10 +24,12 @@
 	self            string
 	domain          string
 	domains         map[string]string    // failure domain by host ID
+	domainCount     int                  // different failure domains in domains
 	rankedLocal     []string             // hosts of the local failure domain, highest score first
 	rankedRemote    []string             // hosts of other domains, highest score first
 	watchCandidates []string             // possible watchers of the local failure domain, highest score first; may contain the node
 	failedAt        map[string]time.Time // last failure of the hosts that have not replied since then
+	stale           bool                 // no recent read of the platform is known
 }
 
 // NewOverlay returns the overlay of a node that has no host list yet.
@@ -56,13 +60,16 @@
 
 func (ove *Overlay) rank() {
 	var local, remote []string
+	names := map[string]bool{}
 	for id, dom := range ove.domains {
+		names[dom] = true
 		if dom == ove.domain {
 			local = append(local, id)
 		} else {
 			remote = append(remote, id)
 		}
 	}
+	ove.domainCount = len(names)
 	ove.watchCandidates = topRanked("watch/"+ove.domain, local, maxWatchCandidates)
 	local = slices.DeleteFunc(local, func(id string) bool { return id == ove.self })
 	ove.rankedLocal = topRanked("overlay/"+ove.self, local, maxRanked)
@@ -129,6 +136,19 @@
 	return out
 }
 
+// SetStale records whether no recent read of the platform by any node is known. While that is so, two hosts of each
+// failure domain watch: the domain may be cut off together with a watcher that cannot reach the platform.
+func (ove *Overlay) SetStale(stale bool) { ove.stale = stale }
+
+// watchersPerDomain returns how many hosts of each failure domain watch the platform. The platform counts every call, so
+// while the watchers of the other domains deliver versions too, one is enough.
+func (ove *Overlay) watchersPerDomain() int {
+	if ove.stale || ove.domainCount < minDomainsForOneWatcher {
+		return 2
+	}
+	return 1
+}
+
 // HigherRanked returns the watchers of the domain that rank above this node and have not failed; it returns none for a
 // node that is not a possible watcher.
 func (ove *Overlay) HigherRanked() []string {
@@ -138,15 +158,15 @@
 	}
 	var out []string
 	for _, id := range ove.watchCandidates[:rank] {
-		if _, failed := ove.failedAt[id]; !failed && len(out) < watchersPerDomain {
+		if _, failed := ove.failedAt[id]; !failed && len(out) < ove.watchersPerDomain() {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// IsWatcher reports whether this node watches the platform: it is a possible watcher, and fewer than two hosts that
-// have not failed rank above it.
+// IsWatcher reports whether this node watches the platform: it is a possible watcher, and fewer hosts that have not
+// failed rank above it than watch in each domain.
 func (ove *Overlay) IsWatcher() bool {
-	return slices.Contains(ove.watchCandidates, ove.self) && len(ove.HigherRanked()) < watchersPerDomain
+	return slices.Contains(ove.watchCandidates, ove.self) && len(ove.HigherRanked()) < ove.watchersPerDomain()
 }
--- a/core/coordination/gossip/watch.go
+++ b/core/coordination/gossip/watch.go
@@ -19,8 +19,11 @@
 	rereadInterval        = 30 * time.Second // between the reads of a watcher, which otherwise uses long polls
 	refusedRereadInterval = 10 * time.Second // the same while the document at the platform is a refused one
 	watcherCheckInterval  = 250 * time.Millisecond
-	minBackoff            = 250 * time.Millisecond
-	defaultMaxBackoff     = 5 * time.Second
+	// staleAfter is the age of the newest known read of the platform from which a second host of each failure domain
+	// watches. While all is well the age stays below longPollTime and two rounds of gossip.
+	staleAfter        = longPollTime + 2*gossipInterval
+	minBackoff        = 250 * time.Millisecond
+	defaultMaxBackoff = 5 * time.Second
 	// maxBootBackoff keeps the reads of a whole fleet that starts while the platform has no valid document far below the
 	// rate that the platform serves.
 	maxBootBackoff = 10 * time.Second
@@ -113,6 +116,8 @@
 func (syn *Syncer) IsWatcher() bool {
 	syn.mut.Lock()
 	defer syn.mut.Unlock()
+	age, _ := syn.freshness.Age(time.Now())
+	syn.overlay.SetStale(age > staleAfter)
 	return syn.overlay.IsWatcher()
 }
 
