Use cold upstreams for what one call answers, and again as soon as they are warm

Cause: after a loss of power of the whole fleet two things held callers back. And nested calls, which may be queued, used the whole cold rate although each of their root requests needs several at services that are all cold. Change: a host that refuses for its cold upstream is avoided until the time that its refusal names, and no longer; its reports do not count the cold time. While root requests arrive at a cold upstream, nested calls may use half of its rate. The rate is 1.5 times the declared one, what upstreams tolerate, instead of 1.25: no network lies between the node and its upstream. Measured: TestColdHostIsUsedAsSoonAsItIsWarm and TestRootsGetTheirPartOfTheColdRate; the second fails with 6 root requests of 60 served without the change.

--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -153,7 +153,7 @@
 func (que *upstreamQueue) expectedLatency() (expected, marginal time.Duration) {
 	que.mut.Lock()
 	defer que.mut.Unlock()
-	return que.scheduler.ExpectedLatency(que.clock.Now()), que.scheduler.MarginalLatency()
+	return que.scheduler.ExpectedLatency(), que.scheduler.MarginalLatency()
 }
 
 // load returns the calls in flight and queued, divided by the slots.
--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -157,6 +157,9 @@
 		if fee.Leaving() || ref.Reason() == core.ReasonDraining {
 			prx.picker.SetLeaving(now, host)
 		}
+		if ref.Reason() == core.ReasonCold && ref.RetryAfter() > 0 {
+			prx.picker.SetCold(host, now.Add(ref.RetryAfter()))
+		}
 	case ref.Reason() == core.ReasonCancelled:
 		prx.picker.Cancelled(host)
 	case ref.Reason() == core.ReasonPeerFailed, ref.Reason() == core.ReasonNoUpstream:
--- a/core/state/picker/picker.go
+++ b/core/state/picker/picker.go
@@ -22,7 +22,10 @@
 	reportHalfLife  = time.Second
 	// blockTime is how long a host that could not be reached is blocked; a probe that finds its connection up, or an
 	// answer from it, ends the block earlier.
-	blockTime   = 500 * time.Millisecond
+	blockTime = 500 * time.Millisecond
+	// coldPenalty is added to the expected latency of a host that has refused a call because its upstream is cold, until
+	// the upstream is warm: other hosts are preferred meanwhile, and it is not avoided any longer.
+	coldPenalty = time.Second
 	leavingTime = 8 * time.Second // a host may be chosen again this long after it last announced that it is leaving
 	// Of a large service only some hosts are compared for a call, so that the cost of a choice and the number of
 	// connections do not grow with the service. They are the same hosts for each call while they can be reached; each
@@ -57,6 +60,7 @@
 	failureRateAt    time.Time // when the last call was counted
 	blockedUntil     time.Time // the host cannot be reached
 	leavingUntil     time.Time // the host is leaving
+	coldUntil        time.Time // the upstream is cold, and the host has refused a call because of it
 }
 
 // Picker knows the hosts to which a node sends calls. It is safe for concurrent use.
@@ -174,6 +178,9 @@
 	}
 	cost += float64(max(hst.inFlight-hst.inFlightAtReport, 0)) * hst.marginalLatency.Seconds()
 	cost += hst.failureRate * decay(now.Sub(hst.failureRateAt), failureHalfLife) * failurePenalty.Seconds()
+	if now.Before(hst.coldUntil) {
+		cost += coldPenalty.Seconds()
+	}
 	return cost * (1 + jitterFraction*pic.rng.Float64())
 }
 
@@ -255,6 +262,13 @@
 	}
 }
 
+// SetCold records that a host refused a call because its upstream is cold, and until when.
+func (pic *Picker) SetCold(id string, until time.Time) {
+	pic.mut.Lock()
+	defer pic.mut.Unlock()
+	pic.host(id).coldUntil = until
+}
+
 // SetLeaving records that a host has announced that it is leaving.
 func (pic *Picker) SetLeaving(now time.Time, id string) {
 	pic.mut.Lock()
--- a/core/state/picker/picker_test.go
+++ b/core/state/picker/picker_test.go
@@ -159,3 +159,25 @@
 		}
 	}
 }
+
+// Replays the restart of a whole fleet, after which the upstreams are cold for three seconds and refuse most calls. A
+// host that became warm a moment later than another one kept being avoided for seconds, because its last report counted
+// the cold time in; the hosts that were tried first filled their queues meanwhile.
+func TestColdHostIsUsedAsSoonAsItIsWarm(t *testing.T) {
+	pic := newPicker()
+	warm := start.Add(3 * time.Second)
+	for now := start; now.Before(warm); now = now.Add(50 * time.Millisecond) {
+		for _, host := range []string{"a", "b"} {
+			report(pic, now, host, 60*time.Millisecond, false)
+			pic.SetCold(host, warm)
+		}
+		report(pic, now, "c", 150*time.Millisecond, false)
+	}
+	cold := warm.Add(-time.Millisecond)
+	if got := picks(pic, cold, 50); got["c"] != 50 {
+		t.Errorf("hosts chosen for 50 calls while a and b are cold are %v, want only c", got)
+	}
+	if got := picks(pic, warm, 50); got["a"] != 50 {
+		t.Errorf("hosts chosen for 50 calls when all are warm are %v, want only a", got)
+	}
+}
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -109,42 +109,70 @@
 	}
 }
 
-// coldLimiter bounds the requests to a cold upstream in any one second by a log of the latest send times.
+// coldLimiter bounds the requests to a cold upstream in any one second, and among them the nested calls while root
+// requests arrive.
 type coldLimiter struct {
-	until  time.Time
-	sentAt []time.Time // ring buffer of as many send times as requests are allowed in one second
-	oldest int         // index of the oldest send time
+	until      time.Time
+	all        sendLog
+	nested     sendLog
+	lastRootAt time.Time // when the last root request arrived
+}
+
+// sendLog is a ring buffer of as many of the latest send times as requests are allowed in one second.
+type sendLog struct {
+	sentAt []time.Time
+	oldest int // index of the oldest send time
 }
 
 // set sets until when the upstream is cold and the allowed requests per second. The send times are kept while the rate
 // stays the same.
 func (col *coldLimiter) set(until time.Time, rate float64) {
 	col.until = until
-	if capacity := max(1, int(rate)); capacity != len(col.sentAt) {
-		col.sentAt, col.oldest = make([]time.Time, capacity), 0
+	col.all.resize(max(1, int(rate)))
+	col.nested.resize(max(1, int(rate*coldNestedFraction)))
+}
+
+func (slo *sendLog) resize(capacity int) {
+	if capacity != len(slo.sentAt) {
+		slo.sentAt, slo.oldest = make([]time.Time, capacity), 0
 	}
 }
 
-// allows reports whether one more request may be sent now.
-func (col *coldLimiter) allows(now time.Time) bool {
-	return !now.Before(col.until) || now.Sub(col.sentAt[col.oldest]) >= time.Second
+// allows reports whether fewer requests than allowed were sent within the last second.
+func (slo *sendLog) allows(now time.Time) bool { return now.Sub(slo.sentAt[slo.oldest]) >= time.Second }
+
+func (slo *sendLog) record(now time.Time) {
+	if len(slo.sentAt) > 0 {
+		slo.sentAt[slo.oldest] = now
+		slo.oldest = (slo.oldest + 1) % len(slo.sentAt)
+	}
+}
+
+// allows reports whether one more call may be sent now.
+func (col *coldLimiter) allows(now time.Time, isRoot bool) bool {
+	switch {
+	case !now.Before(col.until):
+		return true
+	case !isRoot && now.Sub(col.lastRootAt) < coldRootTime && !col.nested.allows(now):
+		return false
+	}
+	return col.all.allows(now)
 }
 
-// delay returns the time until a request may be sent that has the given number of others ahead of it. Beyond the
-// requests of one second it is a lower bound.
+// delay returns the time until a call may be sent that has the given number of others ahead of it. Beyond the requests
+// of one second, and while nested calls may use only a part of the rate, it is a lower bound.
 func (col *coldLimiter) delay(now time.Time, ahead int) time.Duration {
-	if ahead >= len(col.sentAt) {
+	if ahead >= len(col.all.sentAt) {
 		return time.Second
 	}
-	previous := col.sentAt[(col.oldest+ahead)%len(col.sentAt)]
+	previous := col.all.sentAt[(col.all.oldest+ahead)%len(col.all.sentAt)]
 	return min(time.Second-now.Sub(previous), col.until.Sub(now))
 }
 
-// record counts a request that is sent now.
-func (col *coldLimiter) record(now time.Time) {
-	if len(col.sentAt) == 0 {
-		return
+// record counts a call that is sent now.
+func (col *coldLimiter) record(now time.Time, isRoot bool) {
+	col.all.record(now)
+	if !isRoot {
+		col.nested.record(now)
 	}
-	col.sentAt[col.oldest] = now
-	col.oldest = (col.oldest + 1) % len(col.sentAt)
 }
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -26,10 +26,15 @@
 	// minRemainingFraction is the least time until the deadline at which a call is sent, as a fraction of the average
 	// service time.
 	minRemainingFraction = 0.6
-	// coldRateFactor is the multiple of the declared cold rate at which calls are sent. A cold upstream tolerates 1.5
-	// times that rate for a second; the difference covers requests that bunch on the network.
-	coldRateFactor     = 1.25
-	coldLatencyPenalty = time.Second // added to the expected latency while the cold rate is used up
+	// coldRateFactor is the multiple of the declared cold rate at which calls are sent: what a cold upstream tolerates in
+	// a second. No network lies between it and this node on which requests could bunch.
+	coldRateFactor = 1.5
+	// coldNestedFraction is the fraction of the cold rate that nested calls may use while root requests arrive. A root
+	// request that needs only this service is answered by one call; one whose nested calls arrive here needs several, at
+	// services that are cold as well after a loss of power, and mostly fails.
+	coldNestedFraction = 0.5
+	// coldRootTime is how long after a root request another one is expected.
+	coldRootTime = time.Second
 )
 
 // Decision is the outcome of an admission check.
@@ -147,12 +152,8 @@
 }
 
 // ExpectedLatency estimates the time until one more nested call would be answered, the wait in the queue included.
-func (sch *Scheduler) ExpectedLatency(now time.Time) time.Duration {
-	expected := sch.serviceTime + sch.queueWait(len(sch.queue))
-	if !sch.cold.allows(now) {
-		expected += coldLatencyPenalty
-	}
-	return expected
+func (sch *Scheduler) ExpectedLatency() time.Duration {
+	return sch.serviceTime + sch.queueWait(len(sch.queue))
 }
 
 // queueWait estimates how long a call is queued that has the given number of queued calls ahead of it.
@@ -171,10 +172,14 @@
 	if tas.spec.IsRoot && sch.class(tas.spec).reached(now, sch.slots) {
 		return ClassLimitReached
 	}
-	if !sch.cold.allows(now) && (tas.spec.IsRoot || sch.cold.delay(now, len(sch.queue)) > maxNestedWait) {
+	if tas.spec.IsRoot {
+		sch.cold.lastRootAt = now
+	}
+	coldAllows := sch.cold.allows(now, tas.spec.IsRoot)
+	if !coldAllows && (tas.spec.IsRoot || sch.cold.delay(now, len(sch.queue)) > maxNestedWait) {
 		return UpstreamCold
 	}
-	if sch.inFlight < sch.slots && sch.cold.allows(now) && len(sch.queue) == 0 {
+	if sch.inFlight < sch.slots && coldAllows && (len(sch.queue) == 0 || tas.spec.IsRoot && now.Before(sch.cold.until)) {
 		sch.takeSlot(now, tas)
 		return Admitted
 	}
@@ -210,7 +215,7 @@
 		sch.class(tas.spec).start(now)
 	}
 	sch.inFlight++
-	sch.cold.record(now)
+	sch.cold.record(now, tas.spec.IsRoot)
 	tas.holdsSlot = true
 }
 
@@ -249,7 +254,7 @@
 // Dispatch gives free slots to queued calls in order of their due times. It returns the calls that got one, and those
 // dropped from the queue because their deadline is too close.
 func (sch *Scheduler) Dispatch(now time.Time) (dispatched, dropped []*Task) {
-	for len(sch.queue) > 0 && sch.inFlight < sch.slots && sch.cold.allows(now) {
+	for len(sch.queue) > 0 && sch.inFlight < sch.slots && sch.cold.allows(now, sch.queue[0].spec.IsRoot) {
 		tas, _ := heap.Pop(&sch.queue).(*Task)
 		if remaining := tas.spec.Deadline.Sub(now); remaining <= 0 || remaining < sch.minRemaining() {
 			if tas.spec.IsRoot {
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -145,6 +145,50 @@
 	}
 }
 
+// Replays the seconds after a loss of power: all services are cold, root requests that need only this service arrive
+// beside the nested calls of others, of which each needs several and mostly fails. The nested calls, which may be queued,
+// used the whole cold rate.
+func TestRootsGetTheirPartOfTheColdRate(t *testing.T) {
+	const rate = 8.0
+	tests := []struct {
+		name       string
+		withRoots  bool
+		minRoots   int
+		minNesteds int
+	}{
+		{"root requests and nested calls", true, 9, 9},
+		{"nested calls only", false, 0, 20},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			sch := sched.New(100)
+			until := start.Add(3 * time.Second)
+			sch.SetCold(until, rate)
+			roots, nesteds := 0, 0
+			send := func(now time.Time, tas *sched.Task, sent *int) {
+				if sch.Admit(now, tas) == sched.Admitted {
+					*sent++
+					sch.Release(now, tas, time.Millisecond, sched.Success)
+				}
+			}
+			for now := start; now.Before(until); now = now.Add(10 * time.Millisecond) {
+				send(now, newNestedTask(0, now, ""), &nesteds)
+				if tst.withRoots && now.Sub(start)%(50*time.Millisecond) == 0 {
+					send(now, newRootTask(2, "batch", now), &roots)
+				}
+				dispatched, _ := sch.Dispatch(now)
+				for _, tas := range dispatched {
+					nesteds++
+					sch.Release(now, tas, time.Millisecond, sched.Success)
+				}
+			}
+			if roots < tst.minRoots || nesteds < tst.minNesteds {
+				t.Errorf("in 3 s at %v/s %d root requests and %d nested calls were sent, want at least %d and %d", rate, roots, nesteds, tst.minRoots, tst.minNesteds)
+			}
+		})
+	}
+}
+
 // completion is the scheduled end of a root request in a simulation.
 type completion struct {
 	at        time.Time
