End sessions between nodes by a failed read only

Cause: yamux announces the end of a session before its reader has returned, and until then each goroutine that reads from one of its streams runs in a loop (Stream.Read returns to its start as soon as the session counts as shut down, and Session.Close ends the streams only after the reader). Change: the connection below a session closes itself when a write fails and does not report it; nodes close the connection and wait for the session's own end before they close the session.

--- a/io/transport/mesh/conn.go
+++ b/io/transport/mesh/conn.go
@@ -116,31 +116,47 @@
 	return cfg
 }
 
-// coalescingConn writes the header and the data of a yamux frame, which yamux passes in two writes, in one write.
-// Write needs no lock: only the send loop of the yamux session calls it.
-type coalescingConn struct {
+// sessionConn is the connection below a yamux session. It writes the header and the data of a yamux frame, which yamux
+// passes in two writes, in one write.
+//
+// A write that fails closes the connection and is not reported, so that a session ends only because a read has failed.
+// After a failed write, yamux announces the end of the session before its reader has returned, and until then every
+// goroutine that reads from a stream runs in a loop; on a host with one processor these hold up the reader.
+type sessionConn struct {
 	net.Conn
-	unwritten []byte // header of a data frame whose data has not been passed to Write yet
+	raw       net.Conn // TCP connection, below TLS if that is used
+	unwritten []byte   // header of a data frame whose data has not been passed to Write yet
 }
 
-// Write holds the header of a data frame back until its data is passed, and writes everything else directly.
-func (coc *coalescingConn) Write(data []byte) (int, error) {
-	if len(coc.unwritten) == 0 && dataFollows(data) {
-		coc.unwritten = append(coc.unwritten, data...)
+// Write holds the header of a data frame back until its data is passed, and writes everything else directly. It needs no
+// lock: only the send loop of the yamux session calls it.
+func (sco *sessionConn) Write(data []byte) (int, error) {
+	if len(sco.unwritten) == 0 && dataFollows(data) {
+		sco.unwritten = append(sco.unwritten, data...)
 		return len(data), nil
 	}
-	if len(coc.unwritten) == 0 {
-		return coc.Conn.Write(data)
+	var err error
+	if len(sco.unwritten) == 0 {
+		_, err = sco.Conn.Write(data)
+	} else {
+		sco.unwritten = append(sco.unwritten, data...)
+		_, err = sco.Conn.Write(sco.unwritten)
+		sco.unwritten = sco.unwritten[:0]
 	}
-	coc.unwritten = append(coc.unwritten, data...)
-	_, err := coc.Conn.Write(coc.unwritten)
-	coc.unwritten = coc.unwritten[:0]
 	if err != nil {
-		return 0, err
+		_ = sco.raw.Close()
 	}
 	return len(data), nil
 }
 
+// endSession closes a connection and waits until its yamux session has ended. Session.Close alone would announce the end
+// before its reader has returned, as sessionConn explains.
+func endSession(raw net.Conn, mux *yamux.Session) {
+	_ = raw.Close()
+	<-mux.CloseChan()
+	_ = mux.Close()
+}
+
 // dataFollows reports whether a write is the header of a yamux data frame (version 0, type 0) that is not empty.
 func dataFollows(data []byte) bool {
 	return len(data) == yamuxHeaderBytes && data[0] == 0 && data[1] == 0 &&
--- a/io/transport/mesh/peer.go
+++ b/io/transport/mesh/peer.go
@@ -233,7 +233,7 @@
 		}
 		conn = tco
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, muxConfig())
+	mux, err := yamux.Client(&sessionConn{Conn: conn, raw: raw}, muxConfig())
 	if err != nil {
 		return nil, err
 	}
--- a/io/transport/mesh/serve.go
+++ b/io/transport/mesh/serve.go
@@ -138,14 +138,13 @@
 		}
 		conn = tco
 	}
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, muxConfig())
+	mux, err := yamux.Server(&sessionConn{Conn: conn, raw: raw}, muxConfig())
 	if err != nil {
 		return nil, err
 	}
 	inb := &inboundSession{mesh: mes, mux: mux, raw: raw}
 	if err := inb.exchangeHello(ctx, conn); err != nil {
-		_ = raw.Close()
-		_ = mux.Close()
+		endSession(raw, mux)
 		return nil, err
 	}
 	return inb, raw.SetDeadline(time.Time{})
@@ -216,8 +215,7 @@
 		})
 	}
 	cancel()
-	_ = inb.raw.Close()
-	_ = inb.mux.Close()
+	endSession(inb.raw, inb.mux)
 	tasks.Wait()
 	inb.probeReader.Release()
 	inb.probeWriter.Release()
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -43,12 +43,8 @@
 	ses.probeWriter = wire.NewWriter(str)
 }
 
-// close ends the session and all its streams. It closes the connection first, because a blocked write would delay the
-// closing of the yamux session.
-func (ses *outboundSession) close() {
-	_ = ses.raw.Close()
-	_ = ses.mux.Close()
-}
+// close ends the session and all its streams.
+func (ses *outboundSession) close() { endSession(ses.raw, ses.mux) }
 
 func (ses *outboundSession) releaseBuffers() {
 	if ses.probeReader != nil {
