Continue calls between nodes after their connection is lost, again

Cause: all calls between two nodes share a connection, and its loss ended them with an unknown outcome, although the serving node had run them, or had never got them. A lane takes over calls under the lock of the registry, so that a third lane cannot find the calls of the second while they are moved (a write to a nil map). Three missed probes end a connection, as before.

--- a/io/transport/mesh/conn.go
+++ b/io/transport/mesh/conn.go
@@ -39,7 +39,7 @@
 
 // Bounds of counts and the layout of yamux frames.
 const (
-	maxMissedProbes      = 3    // unanswered probes in a row after which a session is ended
+	maxMissedProbes      = 3    // unanswered probes in a row after which a session is ended; its calls go on on the next one
 	maxSessionCalls      = 1024 // calls and control messages in flight on one session
 	maxSessionsPerHost   = 4    // accepted from one host
 	maxPendingHandshakes = 256  // accepted connections that have not yet sent their Hello
--- a/io/transport/mesh/lane.go
+++ b/io/transport/mesh/lane.go
@@ -147,22 +147,17 @@
 	batcher *frameBatcher
 
 	mut          sync.Mutex
-	lastNumber   uint64
 	pendingCalls map[uint64]*laneCall // by number
 	closed       bool
 }
 
-// openLane opens the stream of the lane and queues LaneOpen, which is written once the session runs.
+// openLane opens the stream of the lane. Peer.resumeCalls queues LaneOpen.
 func (ses *outboundSession) openLane() error {
 	str, err := ses.mux.OpenStream()
 	if err != nil {
 		return err
 	}
-	lan := &laneClient{session: ses, stream: str, batcher: newFrameBatcher(str, func(int) {}), pendingCalls: map[uint64]*laneCall{}}
-	if err := lan.batcher.add(&wire.LaneOpen{}, nil); err != nil {
-		return err
-	}
-	ses.lane = lan
+	ses.lane = &laneClient{session: ses, stream: str, batcher: newFrameBatcher(str, func(int) {}), pendingCalls: map[uint64]*laneCall{}}
 	return nil
 }
 
@@ -187,7 +182,7 @@
 	}
 	_ = lan.session.raw.Close()
 	lan.batcher.close()
-	lan.failCalls()
+	lan.suspendCalls()
 	tasks.Wait()
 	rea.Release()
 }
@@ -213,23 +208,7 @@
 	if lac == nil {
 		return true // the call has finished, for example because its caller cancelled it
 	}
-	select {
-	case lac.parts <- par:
-		return true
-	default:
-		return false // the peer sent more parts than it has credit for
-	}
-}
-
-// failCalls ends the pending calls.
-func (lan *laneClient) failCalls() {
-	lan.mut.Lock()
-	defer lan.mut.Unlock()
-	lan.closed = true
-	for _, lac := range lan.pendingCalls {
-		close(lac.sessionLost)
-	}
-	clear(lan.pendingCalls)
+	return lac.parts.add(par) // otherwise the peer sent more parts than it has credit for
 }
 
 // register numbers a call and records it as pending; it returns false when the lane has ended.
@@ -239,8 +218,7 @@
 	if lan.closed {
 		return false
 	}
-	lan.lastNumber++
-	lac.number = lan.lastNumber
+	lac.number = lan.session.peer.mesh.lastNumber.Add(1)
 	lan.pendingCalls[lac.number] = lac
 	return true
 }
@@ -264,16 +242,42 @@
 
 func (par *answerPart) isLast() bool { return par.end != nil || par.head.GetReason() != "" }
 
+// partQueue holds the parts of an answer that have not been read, and counts all that arrived.
+type partQueue struct {
+	parts chan *answerPart
+	count atomic.Uint32
+}
+
+func newPartQueue() partQueue { return partQueue{parts: make(chan *answerPart, laneWindowParts)} }
+
+// add queues a part; it returns false when the queue is full.
+func (paq *partQueue) add(par *answerPart) bool {
+	select {
+	case paq.parts <- par:
+		paq.count.Add(1)
+		return true
+	default:
+		return false
+	}
+}
+
+func (paq *partQueue) received() uint32 { return paq.count.Load() }
+
 // laneCall is a call that this node sends on a lane.
 type laneCall struct {
-	session      *outboundSession
+	session      atomic.Pointer[outboundSession] // another one after the connection was lost and replaced
 	ctx          context.Context
 	cancel       context.CancelFunc
+	idempotent   bool
 	number       uint64      // zero until the call is registered
 	maybeWritten atomic.Bool // the call frame has been passed to a write
-	parts        chan *answerPart
-	sessionLost  chan struct{} // closed when the session ends before the answer does
+	parts        partQueue
+	sessionLost  chan struct{} // closed when the session ends before the answer does and is not replaced
 	finishOnce   sync.Once
+
+	suspended   atomic.Bool // the call has waited for a new connection
+	resumeTimer *time.Timer // ends that wait; guarded by the peer's resumeMut
+	credits     uint32      // sent so far; guarded by the peer's resumeMut
 }
 
 // fitsLane reports whether a call can be sent on a lane: its body is absent, or short and in memory.
@@ -291,7 +295,8 @@
 		cancel()
 		return nil, core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "too many calls from this node to one host are in flight")
 	}
-	lac := &laneCall{session: ses, ctx: ctx, cancel: cancel, parts: make(chan *answerPart, laneWindowParts), sessionLost: make(chan struct{})}
+	lac := &laneCall{ctx: ctx, cancel: cancel, idempotent: call.Idempotent(), parts: newPartQueue(), sessionLost: make(chan struct{})}
+	lac.session.Store(ses)
 	ans, err := lac.roundTrip(call, head)
 	if err != nil {
 		lac.finish()
@@ -302,6 +307,7 @@
 
 // roundTrip sends the call and waits for the first part of its answer.
 func (lac *laneCall) roundTrip(call *core.Call, head *wire.CallHead) (*core.Answer, error) {
+	ses := lac.session.Load()
 	msg := &wire.LaneCall{Head: head}
 	if call.Body() != nil && call.Length() > 0 {
 		msg.Body = make([]byte, call.Length())
@@ -309,23 +315,23 @@
 			return nil, core.NewRefusal(core.ReasonBadRequest, core.OutcomeNotRun, "the request body does not have the announced length").WithCause(err)
 		}
 	}
-	if !lac.session.lane.register(lac) {
-		return nil, notRunRefusal("the connection to host %q has ended", lac.session.peer.host)
+	if !ses.lane.register(lac) {
+		return nil, notRunRefusal("the connection to host %q has ended", ses.peer.host)
 	}
 	msg.Number = lac.number
-	if err := lac.session.lane.batcher.add(msg, lac); err != nil {
+	if err := ses.lane.batcher.add(msg, lac); err != nil {
 		var ref *core.Refusal
 		if errors.As(err, &ref) {
 			return nil, err
 		}
-		return nil, notRunRefusal("the call could not be queued for host %q", lac.session.peer.host).WithCause(err)
+		return nil, notRunRefusal("the call could not be queued for host %q", ses.peer.host).WithCause(err)
 	}
 	par, err := lac.nextPart(core.ReasonPeerFailed)
 	if err != nil {
 		return nil, err
 	}
 	if par.head == nil {
-		lac.session.closeMalformed()
+		lac.session.Load().closeMalformed()
 		return nil, core.NewRefusal(core.ReasonPeerFailed, core.OutcomeUnknown, "the answer of the peer has no head")
 	}
 	if err := wire.ToRefusal(par.head); err != nil {
@@ -339,22 +345,22 @@
 // nextPart waits for the next part of the answer; the given reason is that of the refusal when the session ended first.
 func (lac *laneCall) nextPart(reason core.Reason) (*answerPart, error) {
 	select {
-	case par := <-lac.parts:
+	case par := <-lac.parts.parts:
 		return par, nil
 	default:
 	}
 	select {
-	case par := <-lac.parts:
+	case par := <-lac.parts.parts:
 		return par, nil
 	case <-lac.ctx.Done():
 		return nil, contextRefusal(lac.ctx, core.OutcomeUnknown)
 	case <-lac.sessionLost:
 		select {
-		case par := <-lac.parts: // it arrived before the session ended
+		case par := <-lac.parts.parts: // it arrived before the session ended
 			return par, nil
 		default:
 		}
-		ref := notRunRefusal("the connection to host %q ended early", lac.session.peer.host)
+		ref := notRunRefusal("the connection to host %q ended early", lac.session.Load().peer.host)
 		if !lac.maybeWritten.Load() {
 			return nil, ref
 		}
@@ -365,13 +371,13 @@
 // finish releases the call, and cancels it at the peer when its answer is still pending.
 func (lac *laneCall) finish() {
 	lac.finishOnce.Do(func() {
-		if lac.number != 0 && lac.session.lane.unregister(lac) {
+		if lac.number != 0 && lac.forget() {
 			// LaneCancel is sent also when the call frame is still queued, because that frame will be written. The
 			// error of add is ignored, because a lane that has ended needs no LaneCancel.
-			_ = lac.session.lane.batcher.add(&wire.LaneCancel{Number: lac.number}, nil)
+			_ = lac.session.Load().lane.batcher.add(&wire.LaneCancel{Number: lac.number}, nil)
 		}
 		lac.cancel()
-		lac.session.endCall()
+		lac.session.Load().endCall()
 	})
 }
 
@@ -425,8 +431,7 @@
 
 // fetchPart grants the peer credit for one more part, because the last one has been read, and waits for the next.
 func (lab *laneAnswerBody) fetchPart() error {
-	// An error is ignored: when the session has ended, further parts may have arrived before its end.
-	_ = lab.call.session.lane.batcher.add(&wire.LaneCredit{Number: lab.call.number}, nil)
+	lab.call.grantCredit()
 	par, err := lab.call.nextPart(core.ReasonTruncated)
 	if err != nil {
 		return err
@@ -456,27 +461,34 @@
 
 // laneServer is the serving side of a lane.
 type laneServer struct {
-	session *inboundSession
-	batcher *frameBatcher
-
-	mut   sync.Mutex
-	calls map[uint64]*servedLaneCall // by number
-}
-
-// servedLaneCall is one call of a lane that this node serves.
-type servedLaneCall struct {
-	cancel context.CancelFunc
-	credit chan struct{} // has one element for each further part that may be sent
-}
-
-// serveLane serves the calls of a lane until the stream of the lane ends; then it cancels the calls and waits for them.
-func (inb *inboundSession) serveLane(ctx context.Context, str *yamux.Stream, rea *wire.Reader) {
-	ctx, cancel := context.WithCancel(ctx)
+	session  *inboundSession
+	key      laneKey
+	sequence uint64
+	batcher  *frameBatcher
+
+	mut           sync.Mutex
+	calls         map[uint64]*servedLaneCall // by number; also finished ones whose answers are kept
+	finished      []finishedCall             // those in the order in which they finished
+	retainedBytes int
+	lastForgotten uint64 // highest number of the calls whose answers are not kept any more
+	superseded    bool   // another lane has taken over the calls
+}
+
+// serveLane serves the calls of a lane until the stream of the lane ends. Its calls then wait for the next lane of the
+// group, or end after a while.
+func (inb *inboundSession) serveLane(nodeCtx context.Context, str *yamux.Stream, rea *wire.Reader, open *wire.LaneOpen) {
 	onFinishedCalls := func(calls int) {
 		inb.mesh.activeCalls.Add(-int64(calls))
 		inb.activeCalls.Add(-int64(calls))
 	}
-	las := &laneServer{session: inb, batcher: newFrameBatcher(str, onFinishedCalls), calls: map[uint64]*servedLaneCall{}}
+	las := &laneServer{
+		session: inb, key: laneKey{host: inb.host, incarnation: inb.incarnation, group: open.GetGroup()}, sequence: open.GetSequence(),
+		batcher: newFrameBatcher(str, onFinishedCalls), calls: map[uint64]*servedLaneCall{},
+	}
+	if !inb.mesh.lanes.takeOver(las, open.GetResumed()) {
+		_ = inb.raw.Close()
+		return
+	}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { las.batcher.run(func() { _ = inb.raw.Close() }) })
 	for {
@@ -487,28 +499,24 @@
 			}
 			break
 		}
-		if !las.dispatch(ctx, &tasks, msg) {
+		if !las.dispatch(nodeCtx, msg) {
 			inb.closeMalformed()
 			break
 		}
 	}
-	cancel()
 	las.batcher.close()
+	las.detach()
 	tasks.Wait()
 }
 
 // dispatch acts on one frame of the caller; it returns false when the frame violates the protocol.
-func (las *laneServer) dispatch(ctx context.Context, tasks *sync.WaitGroup, msg proto.Message) bool {
+func (las *laneServer) dispatch(ctx context.Context, msg proto.Message) bool {
 	switch frm := msg.(type) {
 	case *wire.LaneCall:
-		return las.startCall(ctx, tasks, frm)
+		return las.startCall(ctx, frm)
 	case *wire.LaneCredit:
 		if slc := las.servedCall(frm.GetNumber()); slc != nil {
-			select {
-			case slc.credit <- struct{}{}:
-			default:
-				return false // the caller granted more credit than the window allows
-			}
+			return slc.addCredit()
 		}
 		return true
 	case *wire.LaneCancel:
@@ -528,7 +536,7 @@
 
 // startCall starts to serve a call; it returns false when the frame violates the protocol or the lane has ended. The
 // remaining time counts from the arrival of the head, so that the nodes' clocks need not agree.
-func (las *laneServer) startCall(ctx context.Context, tasks *sync.WaitGroup, frm *wire.LaneCall) bool {
+func (las *laneServer) startCall(ctx context.Context, frm *wire.LaneCall) bool {
 	head, number := frm.GetHead(), frm.GetNumber()
 	if head == nil || head.GetLength() != int64(len(frm.GetBody())) {
 		return false
@@ -549,30 +557,43 @@
 	}
 	las.session.mesh.activeCalls.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	slc := &servedLaneCall{cancel: cancel, credit: make(chan struct{}, laneWindowParts)}
+	slc := &servedLaneCall{
+		number: number, idempotent: call.Idempotent(), cancel: cancel, credit: make(chan struct{}, laneWindowParts), lane: las,
+	}
 	for range laneWindowParts - 1 {
 		slc.credit <- struct{}{}
 	}
-	las.mut.Lock()
-	las.calls[number] = slc
-	las.mut.Unlock()
-	tasks.Go(func() {
-		las.serve(ctx, number, slc, call)
-		las.mut.Lock()
-		delete(las.calls, number)
-		las.mut.Unlock()
+	if !las.addCall(slc) {
 		cancel()
-		las.batcher.finishCall()
+		las.session.mesh.activeCalls.Add(-1)
+		las.session.activeCalls.Add(-1)
+		return false
+	}
+	mes := las.session.mesh
+	mes.tasks.Go(func() { // the task of the session is still counted, so Run waits for this one too
+		slc.serve(ctx, mes.settings.Handler, call)
+		cancel()
+		slc.finish()
 	})
 	return true
 }
 
-// serve runs the handler and sends its answer. Errors of the batcher are ignored, because they mean that the session has
-// ended.
-func (las *laneServer) serve(ctx context.Context, number uint64, slc *servedLaneCall, call *core.Call) {
-	ans, err := las.session.handle(ctx, call)
+// addCall records a call; it returns false when another lane has taken over the calls.
+func (las *laneServer) addCall(slc *servedLaneCall) bool {
+	las.mut.Lock()
+	defer las.mut.Unlock()
+	if las.superseded {
+		return false
+	}
+	las.calls[slc.number] = slc
+	return true
+}
+
+// serve runs the handler and sends its answer. A frame that cannot be sent ends the answer.
+func (slc *servedLaneCall) serve(ctx context.Context, han core.Handler, call *core.Call) {
+	ans, err := handle(ctx, han, call)
 	if err != nil {
-		_ = las.batcher.add(&wire.LaneAnswer{Number: number, Head: wire.FromRefusal(err)}, nil)
+		_ = slc.send(&wire.LaneAnswer{Number: slc.number, Head: wire.FromRefusal(err)})
 		return
 	}
 	if ans.Body() != nil {
@@ -581,17 +602,17 @@
 	first := wire.FromAnswer(ans)
 	if proto.Size(first) > wire.MaxControlFrame {
 		ref := core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeRan, "the answer head is too long for a call between nodes")
-		_ = las.batcher.add(&wire.LaneAnswer{Number: number, Head: wire.FromRefusal(ref)}, nil)
+		_ = slc.send(&wire.LaneAnswer{Number: slc.number, Head: wire.FromRefusal(ref)})
 		return
 	}
 	totalBytes := 0
 	for head := first; ; head = nil {
 		data, end := readPart(ans, &totalBytes)
-		var msg proto.Message = &wire.LanePart{Number: number, Body: data, End: end}
+		var msg proto.Message = &wire.LanePart{Number: slc.number, Body: data, End: end}
 		if head != nil {
-			msg = &wire.LaneAnswer{Number: number, Head: head, Body: data, End: end}
+			msg = &wire.LaneAnswer{Number: slc.number, Head: head, Body: data, End: end}
 		}
-		if las.batcher.add(msg, nil) != nil || end != nil {
+		if slc.send(msg) != nil || end != nil {
 			return
 		}
 		select {
@@ -600,7 +621,7 @@
 			// The call was cancelled or its deadline passed. The answer ends with a failure, so that the caller does not
 			// treat the parts that it has received as the whole answer.
 			ref := contextRefusal(ctx, core.OutcomeUnknown)
-			_ = las.batcher.add(&wire.LanePart{Number: number, End: wire.FromFailure(ref, ans.Feedback())}, nil)
+			_ = slc.send(&wire.LanePart{Number: slc.number, End: wire.FromFailure(ref, ans.Feedback())})
 			return
 		}
 	}
--- a/io/transport/mesh/mesh.go
+++ b/io/transport/mesh/mesh.go
@@ -25,7 +25,7 @@
 	EventHandshakeFailed                // a connection to the peer port ended before its Hello was accepted
 	EventOpened                         // a session started, in either direction
 	EventClosed                         // a session ended, in either direction
-	EventProbeTimeout                   // a session was ended because its peer left three probes unanswered
+	EventProbeTimeout                   // a session was ended because its peer left maxMissedProbes unanswered
 )
 
 // String returns the event as a metric label.
@@ -55,6 +55,8 @@
 	activeCalls atomic.Int64 // calls and control messages in flight in both directions
 	leaving     atomic.Bool  // set by Drain
 	inbound     *inboundSessions
+	lanes       *laneRegistry
+	lastNumber  atomic.Uint64 // of a call on a lane, or of a group of lanes
 	ready       chan struct{}
 	addr        string // set before ready is closed
 
@@ -73,7 +75,7 @@
 	if set.IdleTimeout == 0 {
 		set.IdleTimeout = defaultIdleTimeout
 	}
-	mes := &Mesh{settings: set, epoch: time.Now(), inbound: newInboundSessions(), ready: make(chan struct{})}
+	mes := &Mesh{settings: set, epoch: time.Now(), inbound: newInboundSessions(), lanes: newLaneRegistry(), ready: make(chan struct{})}
 	mes.peers.Store(&map[string]*peer{})
 	return mes
 }
--- a/io/transport/mesh/peer.go
+++ b/io/transport/mesh/peer.go
@@ -33,6 +33,11 @@
 	mut         sync.Mutex // guards the fields below; calls take it only while there is no connection
 	managed     bool       // manageConnection runs
 	currentDial *dialAttempt
+
+	laneGroup      uint64
+	resumeMut      sync.Mutex // guards the fields below and the moves of calls between lanes; taken before a lane's lock
+	laneSequence   uint64
+	suspendedCalls map[uint64]*laneCall // by number; calls that wait for the next lane
 }
 
 // dialAttempt is a dial whose result callers wait for. A failed one stays the current one until the pause before the
@@ -60,7 +65,7 @@
 }
 
 func newPeer(mes *Mesh, host, addr string) *peer {
-	return &peer{mesh: mes, host: host, addr: addr}
+	return &peer{mesh: mes, host: host, addr: addr, laneGroup: mes.lastNumber.Add(1), suspendedCalls: map[uint64]*laneCall{}}
 }
 
 // setKept sets whether the connection stays open when it is unused, and reports whether the caller must open it now.
@@ -123,6 +128,9 @@
 	pause := minRedialPause
 	for !pee.stopIfUnwanted(ctx) {
 		ses, err := pee.dial(ctx)
+		if err == nil {
+			pee.resumeCalls(ses)
+		}
 		pee.publishDial(ses, err)
 		started := time.Now()
 		if err == nil {
@@ -188,6 +196,7 @@
 	}
 	pee.managed = false
 	pee.state.Store(nil)
+	pee.abandonCalls()
 	return true
 }
 
@@ -223,7 +232,7 @@
 	return ses, nil
 }
 
-// handshake runs TLS, yamux and Hello on a new connection and opens the lane.
+// handshake runs TLS, yamux and Hello on a new connection and opens the stream of the lane.
 func (pee *peer) handshake(ctx context.Context, raw net.Conn) (*outboundSession, error) {
 	conn := raw
 	if pee.mesh.settings.ClientTLS != nil {
@@ -273,6 +282,7 @@
 	if !ok {
 		return fmt.Errorf("peer at %s answered Hello with %T; run the same version on both nodes", pee.addr, msg)
 	}
+	ses.incarnation = hel.GetIncarnation()
 	if hel.GetHost() != pee.host {
 		return &IdentityError{host: pee.host, names: []string{hel.GetHost()}}
 	}
--- a/io/transport/mesh/serve.go
+++ b/io/transport/mesh/serve.go
@@ -159,6 +159,8 @@
 	probeStream *yamux.Stream // carries Hello and probes
 	probeReader *wire.Reader
 	probeWriter *wire.Writer
+	incarnation uint64       // of the peer's process
+	silent      atomic.Bool  // the session ended because no probe arrived
 	activeCalls atomic.Int64 // calls and control messages in flight
 }
 
@@ -185,14 +187,15 @@
 	if err := checkIdentity(conn, hel.GetHost()); err != nil {
 		return err
 	}
-	inb.host, inb.probeStream, inb.probeReader, inb.probeWriter = hel.GetHost(), str, rea, wri
+	inb.host, inb.incarnation = hel.GetHost(), hel.GetIncarnation()
+	inb.probeStream, inb.probeReader, inb.probeWriter = str, rea, wri
 	return wri.Write(&wire.Hello{Host: inb.mesh.settings.Host, Incarnation: inb.mesh.settings.Incarnation})
 }
 
-// serve answers probes and accepts streams until the session ends; then it cancels the calls of the session and waits
-// for them.
-func (inb *inboundSession) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+// serve answers probes and accepts streams until the session ends; then it cancels the calls that have a stream of their
+// own and waits for them. Calls on a lane may outlive the session, until nodeCtx ends.
+func (inb *inboundSession) serve(nodeCtx context.Context) {
+	ctx, cancel := context.WithCancel(nodeCtx)
 	var tasks sync.WaitGroup
 	tasks.Go(inb.answerProbes)
 	for {
@@ -209,7 +212,7 @@
 		}
 		inb.mesh.activeCalls.Add(1)
 		tasks.Go(func() {
-			inb.serveStream(ctx, str)
+			inb.serveStream(ctx, nodeCtx, str)
 			inb.mesh.activeCalls.Add(-1)
 			inb.activeCalls.Add(-1)
 		})
@@ -244,6 +247,7 @@
 			if wire.IsMalformed(err) {
 				inb.mesh.settings.OnEvent(EventProtocolViolation)
 			}
+			inb.silent.Store(errors.Is(err, yamux.ErrTimeout))
 			return
 		}
 		pro, ok := msg.(*wire.Probe)
@@ -266,7 +270,7 @@
 }
 
 // serveStream serves one call or control message, or a lane.
-func (inb *inboundSession) serveStream(ctx context.Context, str *yamux.Stream) {
+func (inb *inboundSession) serveStream(ctx, nodeCtx context.Context, str *yamux.Stream) {
 	rea, wri := wire.NewReader(str), wire.NewWriter(str)
 	defer rea.Release()
 	defer wri.Release()
@@ -289,7 +293,7 @@
 		// The lane counts each of its calls, so the stream, which was counted when it was accepted, must not count.
 		inb.mesh.activeCalls.Add(-1)
 		inb.activeCalls.Add(-1)
-		inb.serveLane(ctx, str, rea)
+		inb.serveLane(nodeCtx, str, rea, frm)
 		inb.mesh.activeCalls.Add(1)
 		inb.activeCalls.Add(1)
 	case *wire.CallHead:
@@ -389,7 +393,7 @@
 }
 
 func (ser *servedStream) respond(ctx context.Context, call *core.Call) {
-	ans, err := ser.session.handle(ctx, call)
+	ans, err := handle(ctx, ser.session.mesh.settings.Handler, call)
 	if err != nil {
 		_ = ser.writer.Write(wire.FromRefusal(err))
 		return
@@ -405,11 +409,12 @@
 	_ = ser.copyBody(ans)
 }
 
-func (inb *inboundSession) handle(ctx context.Context, call *core.Call) (*core.Answer, error) {
+// handle runs the handler unless the call has ended before it starts.
+func handle(ctx context.Context, han core.Handler, call *core.Call) (*core.Answer, error) {
 	if ctx.Err() != nil {
 		return nil, contextRefusal(ctx, core.OutcomeNotRun)
 	}
-	ans, err := inb.mesh.settings.Handler.Serve(ctx, call)
+	ans, err := han.Serve(ctx, call)
 	var ref *core.Refusal
 	if err != nil && ctx.Err() != nil && !errors.As(err, &ref) {
 		return nil, contextRefusal(ctx, core.OutcomeUnknown).WithCause(err)
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -24,6 +24,7 @@
 	probeWriter *wire.Writer
 
 	lane        *laneClient
+	incarnation uint64        // of the peer's process
 	activeCalls atomic.Int64  // calls and control messages in flight
 	ackCount    atomic.Int64  // answered probes
 	otherFrames atomic.Int64  // frames that arrived on streams other than probeStream
