Keep calls in their failure domain while it has capacity

Cause: callers compared hosts by service time plus wait, with a penalty of 4% (nested) or 10% of the target latency for other domains. Change: the wait in the queue weighs 20 times the service time in the figure that hosts report; the penalty is 30% and 50% of the target latency and lives in package picker. Measured: TestDomainsShareOnlyWhatOneLacks (three domains with machines of different speeds): before 26% of the calls went to another domain although all had capacity and 49% where 16% had to; now 0% and 16%, waits of 10 ms on average. Ruled out: a larger penalty alone (in the test a domain with a surge then keeps its calls waiting for 120 ms on average and refuses 15%).

--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -9,6 +9,7 @@
 
 	"amaranthline/core"
 	"amaranthline/core/state/body"
+	"amaranthline/core/state/picker"
 	"amaranthline/core/state/retry"
 )
 
@@ -25,11 +26,6 @@
 	// important one may use. While an upstream sheds most calls, the remaining retries let the most important root
 	// requests finish; otherwise none would.
 	lowerRankRetryFraction = 0.5
-	// A host in another failure domain is picked only if it is expected to answer sooner than any in this domain by
-	// more than this fraction of the root's target latency. The fraction is larger for a root request, which is sent to
-	// a host once and has the larger answer, than for its nested calls, whose delays add up.
-	rootRemoteFraction   = 0.1
-	nestedRemoteFraction = 0.04
 	// minRetryTime is the time that must be left until the deadline for a retry.
 	minRetryTime = 30 * time.Millisecond
 	// A refused caller is told to retry after a random time between these fractions of the target latency, so that its
@@ -106,12 +102,8 @@
 	if prx.Leaving() {
 		tried = append(slices.Clip(tried), prx.settings.Host)
 	}
-	fraction := rootRemoteFraction
-	if out.nested() {
-		fraction = nestedRemoteFraction
-	}
 	cans := (*prx.currentCandidates(out.snapshot))[out.service]
-	return prx.picker.Pick(prx.clock.Now(), cans, tried, len(out.tried) > 0, secondsToDuration(out.targetLatency.Seconds()*fraction))
+	return prx.picker.Pick(prx.clock.Now(), cans, tried, len(out.tried) > 0, picker.RemotePenalty(out.targetLatency, out.nested()))
 }
 
 // sendAttempt sends one call to a host and records the result in the picker.
--- a/core/state/picker/picker.go
+++ b/core/state/picker/picker.go
@@ -31,10 +31,16 @@
 	// connections do not grow with the service. They are the same hosts for each call while they can be reached; each
 	// caller has its own order of preference. maxLocal bounds the hosts in the caller's failure domain, maxRemote those in
 	// others.
-	maxLocal       = 6
-	maxRemote      = 2
-	maxCompared    = maxLocal + maxRemote
-	jitterFraction = 0.1 // greatest random increase of the cost, so that callers with the same reports choose differently
+	maxLocal    = 6
+	maxRemote   = 2
+	maxCompared = maxLocal + maxRemote
+	// A host in another failure domain is picked only if its expected latency, in which waits in the queue weigh more, is
+	// below that of any in this domain by more than this fraction of the root's target latency. The fraction is larger for
+	// a root request, which is sent to a host once and has the larger answer, than for its nested calls, whose delays add
+	// up.
+	rootRemoteFraction   = 0.5
+	nestedRemoteFraction = 0.3
+	jitterFraction       = 0.1 // greatest random increase of the cost, so that callers with the same reports choose differently
 )
 
 // Candidate is a host that may serve a call.
@@ -95,6 +101,16 @@
 	}
 }
 
+// RemotePenalty returns what is added to the expected latency of hosts in other failure domains for a call of a root
+// request with the given target latency; nested tells whether it is a nested call.
+func RemotePenalty(target time.Duration, nested bool) time.Duration {
+	fraction := rootRemoteFraction
+	if nested {
+		fraction = nestedRemoteFraction
+	}
+	return time.Duration(fraction * float64(target))
+}
+
 // Pick returns the candidate of the lowest cost that has not been tried, or false if there is none. The candidates are
 // in the caller's order of preference, which matters in a large service only. The cost of a host in another failure
 // domain is higher by remotePenalty. A blocked host is chosen only when there is no other, and never for a retry;
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -23,6 +23,10 @@
 	// initialServiceTime is the starting value of the average service time.
 	initialServiceTime = 50 * time.Millisecond
 	serviceTimeWeight  = 0.05 // weight of one call in the moving average
+	// queueWaitWeight is the weight of the wait in the queue in the expected latency that callers compare. A wait shows that
+	// the upstream's capacity is used up, and grows with each further call. Service times differ without that: by the speed
+	// of the machine and by the kinds of requests that an upstream happened to get.
+	queueWaitWeight = 20
 	// minRemainingFraction is the least time until the deadline at which a call is sent, as a fraction of the average
 	// service time.
 	minRemainingFraction = 0.6
@@ -146,14 +150,15 @@
 	return lim.limit(now, sch.slots), lim.inFlight
 }
 
-// MarginalLatency returns by how much each further call lengthens the wait in the queue.
+// MarginalLatency returns by how much each further call lengthens the wait in the queue, without the weight.
 func (sch *Scheduler) MarginalLatency() time.Duration {
 	return sch.serviceTime / time.Duration(sch.slots)
 }
 
-// ExpectedLatency estimates the time until one more nested call would be answered, the wait in the queue included.
+// ExpectedLatency returns the figure by which callers compare hosts: the service time, and the wait that one more nested
+// call would have in the queue, weighted.
 func (sch *Scheduler) ExpectedLatency() time.Duration {
-	return sch.serviceTime + sch.queueWait(len(sch.queue))
+	return sch.serviceTime + queueWaitWeight*sch.queueWait(len(sch.queue))
 }
 
 // queueWait estimates how long a call is queued that has the given number of queued calls ahead of it.
