Pass the failure of a nested call up the whole chain

Cause: a node marked a running call as failed by a nested call only if that was refused. If the nested call was answered with an error, because something further down had failed, the next hop took the error for one of its host: it retried the call, at each hop above, and counted a failure against the host. Change: a nested call that is answered with 500 or above marks the call as well. Measured: TestFailureOfNestedCallPassesUp failed for 'failed further down'. Ruled out: nothing.

--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -322,6 +323,9 @@
 	}
 	elapsed := prx.clock.Now().Sub(out.began)
 	if err == nil {
+		if out.parent != nil && ans.Status() >= http.StatusInternalServerError {
+			out.parent.nestedFailed.Store(true)
+		}
 		prx.settings.Observer.Served(class, team, out.nested(), elapsed)
 		if prx.settings.EventLog.Enabled(eventAnswered) {
 			prx.logEvent(eventAnswered, out, map[string]any{"status": ans.Status(), "took_ms": elapsed.Milliseconds()})
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -574,3 +574,54 @@
 		t.Errorf("the request failed after %d attempts, want an answer to the fifth: %v", calls.Load(), err)
 	}
 }
+
+// serveNesting serves a call whose upstream makes one nested call and fails if that fails, as upstreams do. It returns
+// the feedback of the answer.
+func serveNesting(t *testing.T, env *fakeEnv) core.Feedback {
+	t.Helper()
+	var prx *proxy.Proxy
+	env.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+		if ans, err := prx.ServeRoot(ctx, request("/stock/1", call.AttemptID()+".c1", "")); err == nil && ans.Status() == http.StatusOK {
+			return okAnswer()
+		}
+		return answer(http.StatusInternalServerError, "", core.Feedback{}), nil
+	}
+	prx = newProxy(t, env)
+	waitUnknownHealth()
+	root := core.NewRoot(core.RootSpec{Team: "verona", Class: "read", Deadline: time.Now().Add(time.Second)})
+	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
+		Root: root, Service: "orders", Path: "/read/1", AttemptID: "run", TargetLatency: time.Second, Depth: 1,
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ans.Body().Close()
+	if _, err := io.ReadAll(ans.Body()); err != nil {
+		t.Fatal(err)
+	}
+	return ans.Feedback()
+}
+
+// Guards against retries that multiply along a chain: a call that fails because a nested call failed, which has been
+// retried already, must not be retried again at each hop above, nor count against its host. The nested call may be
+// refused, or its own upstream may answer with an error.
+func TestFailureOfNestedCallPassesUp(t *testing.T) {
+	failed := answer(http.StatusInternalServerError, "", core.Feedback{}.WithNestedFailed(true))
+	for _, tst := range []struct {
+		name string
+		ans  func() *core.Answer
+		err  error
+		want bool
+	}{
+		{"answered", func() *core.Answer { ans, _ := okAnswer(); return ans }, nil, false},
+		{"refused", func() *core.Answer { return nil }, core.NewRefusal(core.ReasonOverload, core.OutcomeNotRun, "full"), true},
+		{"failed further down", func() *core.Answer { return failed }, nil, true},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			env := &fakeEnv{forward: func(context.Context, string, *core.Call) (*core.Answer, error) { return tst.ans(), tst.err }}
+			if diff := cmp.Diff(tst.want, serveNesting(t, env).NestedFailed()); diff != "" {
+				t.Errorf("nested failure in the feedback (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
