Let root requests wait for a service further down that is cold

Cause: after the loss of power of a fleet all upstreams are cold for seconds. The least limit of one request for each host grows with the fleet: 36 hosts admit 100 a second where the cold service can take 9. Change: the answer to a call says how much longer a service further down is cold that refused because of it. A root request that fails so does not count in the limit of its class; further ones are refused as 'dependency_cold' with the time at which the service is warm, and the class starts anew then. All hosts of a service together admit four trials a second.

--- a/core/call.go
+++ b/core/call.go
@@ -220,6 +220,7 @@
 	expectedLatency      time.Duration
 	marginalLatency      time.Duration
 	nestedFailed         bool
+	nestedColdFor        time.Duration
 }
 
 // NewFeedback returns feedback with the unused retry budget, the smallest admission fraction along the chain, the load
@@ -241,6 +242,16 @@
 	return fee
 }
 
+// WithNestedColdFor sets how much longer a service is cold that refused a call further down the chain because of it.
+func (fee Feedback) WithNestedColdFor(remaining time.Duration) Feedback {
+	fee.nestedColdFor = remaining
+	return fee
+}
+
+// NestedColdFor returns how much longer a service is cold that refused a call further down the chain because of it, or 0
+// if there was none.
+func (fee Feedback) NestedColdFor() time.Duration { return fee.nestedColdFor }
+
 // ExpectedLatency returns the latency that the serving host expects for one more call, or 0 if it reported none.
 func (fee Feedback) ExpectedLatency() time.Duration { return fee.expectedLatency }
 
--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +30,9 @@
 	// and has no configuration yet.
 	noConfigurationRetryAfter = 300 * time.Millisecond
 	idlePollInterval          = 10 * time.Millisecond
+	// dependencyTrialSpacing is the time between two root requests of a class that all hosts of a service together admit
+	// although a service that the class needs is cold.
+	dependencyTrialSpacing = 250 * time.Millisecond
 )
 
 // Events that a request or call writes to the event log.
@@ -72,6 +74,7 @@
 	leaving    atomic.Bool
 	draining   atomic.Bool
 	rng        lockedRand
+	trialPhase float64 // in [0,1); spreads the trials of the hosts of a service
 
 	mut             sync.Mutex // guards the fields below
 	retryShare      float64
@@ -90,6 +93,7 @@
 		tokenQueue: newTokenQueue(), queue: newUpstreamQueue(clo),
 		running: newRunningCalls(), retryShare: set.RetryShare, retryRatios: map[string]*retry.Ratio{}, hedgeEstimators: map[string]*hedge.Estimator{}, rng: lockedRand{rng: set.Rand},
 	}
+	prx.trialPhase = prx.rng.between(0, time.Second).Seconds()
 	prx.upstream = newOwnUpstream(set, clo, prx.queue)
 	return prx
 }
@@ -146,7 +150,10 @@
 // SetSnapshot applies a new configuration.
 func (prx *Proxy) SetSnapshot(sna *decl.Snapshot) {
 	now := prx.clock.Now()
-	prx.candidates.Store(rankCandidates(prx.settings, sna))
+	cls := rankCandidates(prx.settings, sna)
+	prx.candidates.Store(cls)
+	interval := time.Duration(max(len((*cls)[prx.settings.Service]), 1)) * dependencyTrialSpacing
+	prx.queue.setTrials(interval, secondsToDuration(prx.trialPhase*interval.Seconds()))
 	prx.upstream.applySnapshot(now, sna)
 	prx.setRateHosts(now, sna)
 	ids := make([]string, 0, len(sna.Hosts().All()))
@@ -321,11 +328,10 @@
 	if out.root != nil {
 		class, team = out.root.Class(), out.root.Team()
 	}
-	elapsed := prx.clock.Now().Sub(out.began)
+	now := prx.clock.Now()
+	elapsed := now.Sub(out.began)
 	if err == nil {
-		if out.parent != nil && ans.Status() >= http.StatusInternalServerError {
-			out.parent.nestedFailed.Store(true)
-		}
+		out.parent.recordNestedAnswer(now, ans)
 		prx.settings.Observer.Served(class, team, out.nested(), elapsed)
 		if prx.settings.EventLog.Enabled(eventAnswered) {
 			prx.logEvent(eventAnswered, out, map[string]any{"status": ans.Status(), "took_ms": elapsed.Milliseconds()})
@@ -337,9 +343,7 @@
 	if out.rateCharged && ref.Outcome() == core.OutcomeNotRun {
 		prx.limiter.Refund(team)
 	}
-	if out.parent != nil {
-		out.parent.nestedFailed.Store(true)
-	}
+	out.parent.recordNestedRefusal(now, ref)
 	if prx.settings.EventLog.Enabled(eventRefused) {
 		prx.logEvent(eventRefused, out, map[string]any{
 			"reason": string(ref.Reason()), "outcome": ref.Outcome().String(), "detail": ref.Detail(),
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -625,3 +625,48 @@
 		})
 	}
 }
+
+// Guards against root requests that are admitted, and fail, while a service further down the chain is cold: each hop must
+// tell the one above until when, and the host of the root requests must tell the next caller.
+func TestColdServicePassesUp(t *testing.T) {
+	const cold = 2 * time.Second
+	failed := answer(http.StatusInternalServerError, "", core.Feedback{}.WithNestedFailed(true).WithNestedColdFor(cold))
+	for _, tst := range []struct {
+		name string
+		ans  *core.Answer
+		err  error
+	}{
+		{"refused by the cold service", nil, core.NewRefusal(core.ReasonCold, core.OutcomeNotRun, "cold").WithRetryAfter(cold)},
+		{"failed further down", failed, nil},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			env := &fakeEnv{forward: func(context.Context, string, *core.Call) (*core.Answer, error) { return tst.ans, tst.err }}
+			if got := serveNesting(t, env).NestedColdFor(); got < cold-200*time.Millisecond || got > cold {
+				t.Errorf("the answer says that a service is cold for %v, want %v", got, cold)
+			}
+		})
+	}
+	env := &fakeEnv{forward: func(context.Context, string, *core.Call) (*core.Answer, error) { return failed, nil }}
+	var prx *proxy.Proxy
+	env.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+		_, _ = prx.ServeRoot(ctx, request("/stock/1", call.AttemptID()+".c1", ""))
+		return answer(http.StatusInternalServerError, "", core.Feedback{}), nil
+	}
+	prx = newProxy(t, env)
+	waitUnknownHealth()
+	serveRoot := func(id string) (*core.Answer, error) {
+		root := core.NewRoot(core.RootSpec{Team: "verona", Class: "confirm", Deadline: time.Now().Add(5 * time.Second)})
+		return prx.Serve(t.Context(), core.NewCall(core.CallSpec{Root: root, Service: "orders", Path: "/confirm/1", AttemptID: id, TargetLatency: time.Second}))
+	}
+	ans, err := serveRoot("r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.ReadAll(ans.Body())
+	_ = ans.Body().Close()
+	_, err = serveRoot("r2")
+	checkRefusal(t, err, core.ReasonDependencyCold, core.OutcomeNotRun)
+	if got := core.AsRefusal(err).RetryAfter(); got < cold-200*time.Millisecond || got > cold {
+		t.Errorf("the next caller may return after %v, want %v", got, cold)
+	}
+}
--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -40,6 +40,7 @@
 	que.dispatch(now)
 	dec := que.scheduler.Admit(now, tsk)
 	remaining := que.scheduler.ColdRemaining(now)
+	dependencyRemaining := que.scheduler.DependencyColdRemaining(now, tsk.Class())
 	if remaining > 0 {
 		que.scheduleDispatch()
 	}
@@ -51,6 +52,8 @@
 		return que.wait(ctx, tsk, quc)
 	case sched.UpstreamCold:
 		return refusalFor(dec).WithRetryAfter(remaining)
+	case sched.DependencyCold:
+		return refusalFor(dec).WithRetryAfter(dependencyRemaining)
 	}
 	return refusalFor(dec)
 }
@@ -61,6 +64,8 @@
 		return refuse(core.ReasonDeadline, "the time left until the deadline is less than the upstream needs for a call")
 	case sched.UpstreamCold:
 		return refuse(core.ReasonCold, "the upstream is cold and its reduced rate is used up")
+	case sched.DependencyCold:
+		return refuse(core.ReasonDependencyCold, "a service that requests of the class need is cold")
 	case sched.ClassLimitReached:
 		return refuse(core.ReasonOverload, "as many requests of the class are in progress as finish in time")
 	}
@@ -106,6 +111,15 @@
 	que.dispatch(now)
 }
 
+// releaseCold frees the slot of a call that failed because a service further down the chain is cold.
+func (que *upstreamQueue) releaseCold(tsk *sched.Task, until time.Time) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	now := que.clock.Now()
+	que.scheduler.ReleaseCold(now, tsk, until)
+	que.dispatch(now)
+}
+
 // dispatch wakes the queued calls that get a slot now and those whose deadline is too close. The caller holds the lock.
 func (que *upstreamQueue) dispatch(now time.Time) {
 	admitted, tooLate := que.scheduler.Dispatch(now)
@@ -142,6 +156,13 @@
 	que.scheduler.SetSlots(slots)
 }
 
+// setTrials sets how often a root request is admitted although a service that it needs is cold.
+func (que *upstreamQueue) setTrials(interval, offset time.Duration) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.SetTrials(interval, offset)
+}
+
 // setCold limits the calls to a rate per second until the upstream is warm.
 func (que *upstreamQueue) setCold(until time.Time, perSecond float64) {
 	que.mut.Lock()
--- a/core/coordination/proxy/running.go
+++ b/core/coordination/proxy/running.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"amaranthline/core"
 )
@@ -21,6 +23,46 @@
 	ctx          context.Context
 	call         *core.Call
 	nestedFailed atomic.Bool
+	coldUntil    atomic.Int64 // Unix nanoseconds; until when a service is cold that refused a nested call because of it
+}
+
+// recordNestedAnswer records that a nested call of this call was answered. It does nothing if run is nil.
+func (run *runningCall) recordNestedAnswer(now time.Time, ans *core.Answer) {
+	if run == nil || ans.Status() < http.StatusInternalServerError {
+		return
+	}
+	run.nestedFailed.Store(true)
+	if cold := ans.Feedback().NestedColdFor(); cold > 0 {
+		run.recordCold(now.Add(cold))
+	}
+}
+
+// recordNestedRefusal records that a nested call of this call was refused or failed. It does nothing if run is nil.
+func (run *runningCall) recordNestedRefusal(now time.Time, ref *core.Refusal) {
+	if run == nil {
+		return
+	}
+	run.nestedFailed.Store(true)
+	if ref.Reason() == core.ReasonCold {
+		run.recordCold(now.Add(ref.RetryAfter()))
+	}
+}
+
+// recordCold records until when a service is cold that refused a nested call of this call, or one further down the chain.
+func (run *runningCall) recordCold(until time.Time) {
+	for old := run.coldUntil.Load(); until.UnixNano() > old; old = run.coldUntil.Load() {
+		if run.coldUntil.CompareAndSwap(old, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// dependencyColdUntil returns the time given to recordCold, or the zero time.
+func (run *runningCall) dependencyColdUntil() time.Time {
+	if nanos := run.coldUntil.Load(); nanos > 0 {
+		return time.Unix(0, nanos)
+	}
+	return time.Time{}
 }
 
 // runningCalls holds the running calls of this host. It is safe for concurrent use.
--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -240,7 +240,7 @@
 		return ref
 	}
 	target := out.targetLatency.Seconds()
-	if ref.Reason() == core.ReasonCold {
+	if ref.Reason() == core.ReasonCold || ref.Reason() == core.ReasonDependencyCold {
 		// Callers that retry before the upstreams are warm would be refused again, and many callers retry only once.
 		return ref.WithRetryAfter(ref.RetryAfter() + prx.rng.between(0, secondsToDuration(target*maxRetryAfterFraction)))
 	}
--- a/core/coordination/proxy/serve.go
+++ b/core/coordination/proxy/serve.go
@@ -114,13 +114,20 @@
 		expected = unavailableLatency
 	}
 	fee := core.NewFeedback(0, 1, prx.queue.load(), prx.Leaving()).WithLatency(expected, marginal)
-	return fee.WithNestedFailed(run != nil && run.nestedFailed.Load())
+	if run == nil {
+		return fee
+	}
+	return fee.WithNestedFailed(run.nestedFailed.Load()).WithNestedColdFor(max(run.dependencyColdUntil().Sub(prx.clock.Now()), 0))
 }
 
 // release frees the slot; only the first release has an effect.
 func (slo *heldSlot) release(res sched.Result) {
 	slo.once.Do(func() {
 		slo.proxy.running.remove(slo.run)
+		if until := slo.run.dependencyColdUntil(); res == sched.Failed && until.After(slo.proxy.clock.Now()) {
+			slo.proxy.queue.releaseCold(slo.task, until)
+			return
+		}
 		slo.proxy.queue.release(slo.task, slo.proxy.clock.Now().Sub(slo.start), res)
 	})
 }
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -66,6 +66,7 @@
 	ReasonMismatchedAnswer   Reason = "foreign_answer"
 	ReasonUpstreamShed       Reason = "upstream_shed"
 	ReasonCold               Reason = "cold"
+	ReasonDependencyCold     Reason = "dependency_cold"
 	ReasonOrphanedCall       Reason = "orphan"
 )
 
@@ -105,6 +106,7 @@
 	ReasonWrongInstance:      {http.StatusServiceUnavailable, "retry; the upstream has been replaced"},
 	ReasonUpstreamShed:       {http.StatusServiceUnavailable, "retry after a pause; the upstream refused the request"},
 	ReasonCold:               {http.StatusServiceUnavailable, "retry after a pause; the upstream has just started"},
+	ReasonDependencyCold:     {http.StatusServiceUnavailable, "retry after a pause; a service that the request needs has just started"},
 	ReasonOrphanedCall:       {http.StatusServiceUnavailable, "make no nested calls for a request that has ended"},
 	ReasonMismatchedAnswer:   {http.StatusBadGateway, "check the state of the resource; the upstream answered another request"},
 	ReasonCallToken:          {http.StatusForbidden, "pass on the Amaranthline-Call header of the request being served"},
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -36,6 +36,8 @@
 	target     time.Duration       // target latency of the last root request that finished
 	buckets    [bucketCount]bucket // ring buffer; each bucket covers one bucketInterval
 	newest     int64               // number of the newest bucket, counted from the Unix epoch
+	coldUntil  time.Time           // a service that the root requests need is cold until then
+	nextTrial  time.Time           // when one of them is admitted nevertheless
 }
 
 // bucket counts the root requests that finished within one bucketInterval.
@@ -84,6 +86,32 @@
 	return min(int(max(minimum, sustained))+1, slots)
 }
 
+// awaitsDependency reports whether a root request is refused because a service that it needs is cold. One that is admitted
+// as a trial postpones the next.
+func (lim *classLimiter) awaitsDependency(now time.Time, trialInterval time.Duration) bool {
+	if !now.Before(lim.coldUntil) {
+		return false
+	}
+	if now.Before(lim.nextTrial) {
+		return true
+	}
+	lim.nextTrial = now.Add(trialInterval)
+	return false
+}
+
+// setDependencyCold records until when a service that the root requests need is cold. The class starts anew then: the
+// completions before say nothing about the time after.
+func (lim *classLimiter) setDependencyCold(now, until time.Time, firstTrial time.Duration) {
+	if !now.Before(lim.coldUntil) {
+		lim.nextTrial = now.Add(firstTrial)
+	}
+	if until.After(lim.coldUntil) {
+		lim.coldUntil = until
+	}
+	lim.firstStart = time.Time{}
+	lim.buckets = [bucketCount]bucket{}
+}
+
 func (lim *classLimiter) reached(now time.Time, slots int) bool {
 	return lim.inFlight >= lim.limit(now, slots)
 }
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -52,9 +52,10 @@
 	ClassLimitReached                 // as many root requests of its class are in flight as can finish in time
 	DeadlineTooClose                  // the upstream needs longer than the time until the deadline
 	UpstreamCold                      // the upstream is cold and its rate is used up
+	DependencyCold                    // a service that root requests of the class need is cold
 )
 
-var decisionNames = [...]string{"run", "wait", "full", "closed", "late", "cold"}
+var decisionNames = [...]string{"run", "wait", "full", "closed", "late", "cold", "dependency_cold"}
 
 // String returns the decision as a log field and metric label.
 func (dec Decision) String() string { return decisionNames[dec] }
@@ -84,6 +85,9 @@
 // Value returns the value given to NewTask.
 func (tas *Task) Value() any { return tas.spec.Value }
 
+// Class returns the class of the call's root request.
+func (tas *Task) Class() string { return tas.spec.Class }
+
 // MaxWait returns the longest time that the call may be queued; it is set once Admit has returned Queued.
 func (tas *Task) MaxWait() time.Duration { return tas.maxWait }
 
@@ -105,6 +109,9 @@
 	serviceTime time.Duration // moving average of the time that a call holds its slot
 	classes     map[string]*classLimiter
 	cold        coldLimiter
+
+	trialInterval time.Duration // between the root requests of a class that are admitted while it needs a cold service
+	trialOffset   time.Duration // of the first one
 }
 
 // New returns a scheduler for an upstream with the given number of slots.
@@ -124,6 +131,21 @@
 	sch.cold.set(until, declaredRate*coldRateFactor)
 }
 
+// SetTrials sets the time between the root requests of a class that are admitted while a service that it needs is cold,
+// and the time until the first.
+func (sch *Scheduler) SetTrials(interval, offset time.Duration) {
+	sch.trialInterval, sch.trialOffset = interval, offset
+}
+
+// DependencyColdRemaining returns how much longer a service is cold that root requests of a class need, as far as is
+// known.
+func (sch *Scheduler) DependencyColdRemaining(now time.Time, class string) time.Duration {
+	if lim := sch.classes[class]; lim != nil {
+		return max(lim.coldUntil.Sub(now), 0)
+	}
+	return 0
+}
+
 // ColdRemaining returns how much longer the upstream is cold, or 0 if it is not cold.
 func (sch *Scheduler) ColdRemaining(now time.Time) time.Duration {
 	return max(sch.cold.until.Sub(now), 0)
@@ -174,8 +196,14 @@
 	if remaining <= 0 || sch.inFlight > 0 && remaining < sch.minRemaining() {
 		return DeadlineTooClose
 	}
-	if tas.spec.IsRoot && sch.class(tas.spec).reached(now, sch.slots) {
-		return ClassLimitReached
+	if tas.spec.IsRoot {
+		lim := sch.class(tas.spec)
+		if lim.awaitsDependency(now, sch.trialInterval) {
+			return DependencyCold
+		}
+		if lim.reached(now, sch.slots) {
+			return ClassLimitReached
+		}
 	}
 	if tas.spec.IsRoot {
 		sch.cold.lastRootAt = now
@@ -256,6 +284,15 @@
 	}
 }
 
+// ReleaseCold is Release for a call that failed because a service deeper in its call chain is cold until the given time.
+// That says nothing about how many root requests can be in flight afterwards.
+func (sch *Scheduler) ReleaseCold(now time.Time, tas *Task, until time.Time) {
+	sch.Release(now, tas, 0, Cancelled)
+	if tas.spec.IsRoot {
+		sch.class(tas.spec).setDependencyCold(now, until, sch.trialOffset)
+	}
+}
+
 // Dispatch gives free slots to queued calls in order of their due times. It returns the calls that got one, and those
 // dropped from the queue because their deadline is too close.
 func (sch *Scheduler) Dispatch(now time.Time) (dispatched, dropped []*Task) {
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -337,3 +337,142 @@
 		t.Errorf("limits %d, %d and %d before, during and after failures, want at most 2 during, half the first or more after", before, during, after)
 	}
 }
+
+// coldChain replays the time after the loss of power of a whole fleet: each root request needs several calls to a deep
+// service that is cold and can take few calls for a while. Callers that are refused return once, when they are told to.
+type coldChain struct {
+	rng       *rand.Rand
+	hosts     []*sched.Scheduler
+	coldUntil time.Time
+	callTimes []time.Time // of the calls that the deep service got within the last second
+	events    coldEvents
+	asked     map[int]int // by the second in which the caller first asked
+	served    map[int]int
+}
+
+const (
+	coldHosts     = 36
+	coldRoots     = 93 // root requests per second
+	coldCalls     = 8  // calls of a root request to the deep service
+	coldDeepRate  = 74 // calls that the deep service takes per second while it is cold
+	coldRootTime  = 700 * time.Millisecond
+	coldFailTime  = 250 * time.Millisecond // until a root request fails whose calls are refused
+	coldFor       = 3 * time.Second
+	coldReplay    = 8 * time.Second
+	coldTarget    = 2 * time.Second
+	maxReturnTime = 1600 * time.Millisecond // callers do not wait for longer
+)
+
+type coldEvent struct {
+	at       time.Time
+	asked    int         // second in which the caller first asked
+	returned bool        // the caller has been refused once
+	host     int         // of the task
+	task     *sched.Task // that ends, or nil for a caller that asks
+	failed   bool
+}
+
+type coldEvents []*coldEvent
+
+func (que coldEvents) Len() int           { return len(que) }
+func (que coldEvents) Less(i, j int) bool { return que[i].at.Before(que[j].at) }
+func (que coldEvents) Swap(i, j int)      { que[i], que[j] = que[j], que[i] }
+func (que *coldEvents) Push(item any)     { eve, _ := item.(*coldEvent); *que = append(*que, eve) }
+func (que *coldEvents) Pop() any {
+	old := *que
+	eve := old[len(old)-1]
+	*que = old[:len(old)-1]
+	return eve
+}
+
+func newColdChain() *coldChain {
+	cch := &coldChain{rng: rand.New(rand.NewPCG(5, 8)), coldUntil: start.Add(coldFor), asked: map[int]int{}, served: map[int]int{}}
+	for range coldHosts {
+		sch := sched.New(47)
+		sch.SetTrials(coldHosts*250*time.Millisecond, time.Duration(cch.rng.Float64()*float64(coldHosts*250*time.Millisecond)))
+		cch.hosts = append(cch.hosts, sch)
+	}
+	for at := start; at.Before(start.Add(coldReplay)); at = at.Add(time.Duration(cch.rng.ExpFloat64() / coldRoots * float64(time.Second))) {
+		second := int(at.Sub(start) / time.Second)
+		cch.asked[second]++
+		cch.events = append(cch.events, &coldEvent{at: at, asked: second})
+	}
+	heap.Init(&cch.events)
+	return cch
+}
+
+func (cch *coldChain) run() {
+	for len(cch.events) > 0 {
+		eve, _ := heap.Pop(&cch.events).(*coldEvent)
+		if eve.task == nil {
+			cch.ask(eve)
+			continue
+		}
+		sch := cch.hosts[eve.host]
+		switch {
+		case !eve.failed:
+			sch.Release(eve.at, eve.task, coldRootTime, sched.Success)
+			cch.served[eve.asked]++
+		case cch.coldUntil.After(eve.at):
+			sch.ReleaseCold(eve.at, eve.task, cch.coldUntil)
+		default:
+			sch.Release(eve.at, eve.task, coldFailTime, sched.Failed)
+		}
+	}
+}
+
+// ask sends a root request to up to three hosts, as an entry node does.
+func (cch *coldChain) ask(eve *coldEvent) {
+	var remaining time.Duration
+	for range 3 {
+		host := cch.rng.IntN(coldHosts)
+		tsk := sched.NewTask(sched.TaskSpec{Class: "confirm", IsRoot: true, TargetLatency: coldTarget, Deadline: eve.at.Add(5 * time.Second)})
+		switch cch.hosts[host].Admit(eve.at, tsk) {
+		case sched.Admitted:
+			took, failed := coldRootTime, false
+			if !cch.deepAllows(eve.at) {
+				took, failed = coldFailTime, true
+			}
+			heap.Push(&cch.events, &coldEvent{at: eve.at.Add(took), asked: eve.asked, host: host, task: tsk, failed: failed})
+			return
+		case sched.DependencyCold:
+			remaining = cch.hosts[host].DependencyColdRemaining(eve.at, "confirm")
+		}
+		if remaining > 0 {
+			break
+		}
+	}
+	if !eve.returned {
+		pause := min(remaining+time.Duration((0.2+0.25*cch.rng.Float64())*float64(coldTarget)), maxReturnTime)
+		heap.Push(&cch.events, &coldEvent{at: eve.at.Add(pause), asked: eve.asked, returned: true})
+	}
+}
+
+// deepAllows reports whether the deep service takes all calls of a root request, and counts what it gets.
+func (cch *coldChain) deepAllows(now time.Time) bool {
+	for len(cch.callTimes) > 0 && now.Sub(cch.callTimes[0]) > time.Second {
+		cch.callTimes = cch.callTimes[1:]
+	}
+	for range coldCalls {
+		if now.Before(cch.coldUntil) && len(cch.callTimes) >= coldDeepRate {
+			return false
+		}
+		cch.callTimes = append(cch.callTimes, now)
+	}
+	return true
+}
+
+// Guards against root requests that use up what a cold service can take without being answered, and against limits on
+// them that stay low for seconds after the service is warm: all of their failures came from the cold service.
+func TestRootsWaitForColdService(t *testing.T) {
+	cch := newColdChain()
+	cch.run()
+	fraction := func(second int) float64 { return float64(cch.served[second]) / float64(cch.asked[second]) }
+	t.Logf("served %v of %v", cch.served, cch.asked)
+	// A caller that asks in the last second of the cold time returns when the service is warm.
+	for second, want := range map[int]float64{2: 0.85, 3: 0.95, 4: 0.95, 5: 0.95} {
+		if got := fraction(second); got < want {
+			t.Errorf("%.2f of the callers of second %d were served, want at least %.2f", got, second, want)
+		}
+	}
+}
