Refuse requests of callers while a node drains its last calls

Cause: a planned stop under load cut requests. A node that stops waits until no call is in flight, then closes its ingress. Its callers went on sending requests over open and new connections; the node still forwarded them, so that there was always a call in flight: the wait lasted until its time was over, and then the connections were closed under the requests that had just been accepted. Change: in the last part of a graceful shutdown, requests of callers are refused as not run; nested calls of the own upstream are served until it is idle. The new case of TestFaults, a node that restarts beside a stale peer and a stale replica, passes: the newest version is in force within 3 s. Ruled out: closing the listener first (the upstream's nested calls use it).

--- a/core/coordination/gossip/gossip_test.go
+++ b/core/coordination/gossip/gossip_test.go
@@ -227,6 +227,31 @@
 				t.Error("the node has no configuration 3 s after its restart")
 			}
 		}, map[string]int{"2 1": 30}},
+		{"a node restarted beside a stale peer and a stale replica learns the newest version", func(t *testing.T, fle *fleet) {
+			old := map[string]core.Document{core.DocumentDeclarations: declarations(1, 3), core.DocumentHosts: fle.hostList(1)}
+			stale := func(id string) bool { return id == "h0005" }
+			fle.setFaults(func() {
+				fle.linkBlocked = func(from, to string) bool { return stale(from) || stale(to) }
+				fle.hostBlocked = stale
+			})
+			fle.publish(declarations(2, 3)) // withdraws a key
+			advance(maxPropagation)
+			fle.node("h0004").stop()
+			fle.setFaults(func() {
+				fle.linkBlocked = func(string, string) bool { return false }
+				fle.replicaDocs = func(host string) map[string]core.Document {
+					if host == "h0004" || stale(host) {
+						return old
+					}
+					return nil
+				}
+			})
+			fle.startWithSeeds("h0004", "h0005")
+			advance(maxPropagation)
+			if snap := fle.node("h0004").syncer.Snapshot(); snap == nil || snap.Version() != 2 {
+				t.Error("3 s after its restart the node uses a version that it had replaced before")
+			}
+		}, map[string]int{"2 1": 30}},
 		{"an invalid version is refused with its reason", func(t *testing.T, fle *fleet) {
 			fle.publish(invalid)
 			advance(5 * time.Second)
--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -29,7 +29,10 @@
 	// noConfigurationRetryAfter is how long a caller is told to wait before it retries at a node that has just started
 	// and has no configuration yet.
 	noConfigurationRetryAfter = 300 * time.Millisecond
-	idlePollInterval          = 10 * time.Millisecond
+	// drainingRetryAfter is how long a caller is told to wait that still sends requests to a node which is about to exit:
+	// its next one should go to another node, or to the next process of this one.
+	drainingRetryAfter = 500 * time.Millisecond
+	idlePollInterval   = 10 * time.Millisecond
 	// dependencyTrialSpacing is the time between two root requests of a class that all hosts of a service together admit
 	// although a service that the class needs is cold.
 	dependencyTrialSpacing = 250 * time.Millisecond
@@ -118,8 +121,9 @@
 // Leaving reports whether Leave was called.
 func (prx *Proxy) Leaving() bool { return prx.leaving.Load() }
 
-// Drain makes the proxy refuse calls that have not been sent to the node's own upstream, so that they go to other
-// hosts.
+// Drain makes the proxy refuse new requests of callers, and calls that have not been sent to the node's own upstream, so
+// that they go to other hosts. Callers that go on sending requests would otherwise keep calls in flight until the time of
+// the graceful shutdown is over. Nested calls of the upstream are served.
 func (prx *Proxy) Drain() { prx.draining.Store(true) }
 
 // WaitIdle waits until no call is in flight at the node's own upstream. Until then the upstream may make nested calls.
@@ -265,6 +269,9 @@
 	if run := out.parent; run != nil {
 		return out.inheritRoot(run, spec)
 	}
+	if prx.draining.Load() {
+		return refuse(core.ReasonDraining, "this host is draining").WithRetryAfter(drainingRetryAfter)
+	}
 	_, _ = crand.Read(spec.ID[:]) // crypto/rand.Read never fails
 	key := out.snapshot.KeyBySecret(out.request.APIKey())
 	switch {
