Format a test and check the end of its proxy

Cause: the formatter and the linter of the test script. Change: layout of a literal; a test waits for the proxy that it runs. Ruled out: nothing.

--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -63,7 +63,9 @@
 		"version": version, "classes": []jsonObject{class("confirm", 0), class("read", 2), class("lookup", 2), class("deep", 0)},
 		"services": []jsonObject{
 			{"name": "orders", "routes": []jsonObject{}, "upstream": jsonObject{"connections": 100, "health": "/health", "cold": jsonObject{"rate": 2, "lasts": "3s"}}},
-			{"name": "stock", "routes": []jsonObject{}}, {"name": "deep", "routes": []jsonObject{}}},
+			{"name": "stock", "routes": []jsonObject{}},
+			{"name": "deep", "routes": []jsonObject{}},
+		},
 		"teams": []jsonObject{{"name": "verona", "rate": 1000, "burst": 1000}}, "keys": keys,
 		"domains": []jsonObject{{"name": "a", "region": "r", "state": state}, {"name": "b", "region": "r", "state": "in"}},
 		"entries": []jsonObject{
@@ -701,9 +703,14 @@
 	env.sna = snapshot(t, 5, false, false)
 	prx := newProxy(t, env)
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- prx.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := prx.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	defer running.Wait()
+	defer cancel()
 	time.Sleep(cold - 100*time.Millisecond)
 	prx.SetSnapshot(snapshotWithCold(t, 6, false, false, cold))
 	time.Sleep(200 * time.Millisecond)
