Let refused callers return sooner after a cold time

Change: rank 0 returns within the first 10% of the target latency, others from 5% to 25%. Ruled out: nothing.

--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -33,8 +33,9 @@
 	minRetryAfterFraction = 0.2
 	maxRetryAfterFraction = 0.45
 	// After a cold time many callers return within a short time, the most important ones before the others.
-	maxImportantReturnFraction = 0.2
-	minOtherReturnFraction     = 0.1
+	maxImportantReturnFraction = 0.1
+	minOtherReturnFraction     = 0.05
+	maxOtherReturnFraction     = 0.25
 )
 
 // send runs the attempts of a request within its deadline and returns the answer or refusal for its sender.
@@ -247,7 +248,7 @@
 		// Callers that retry before the upstreams are warm would be refused again, and many callers retry only once.
 		low, high := 0.0, maxImportantReturnFraction
 		if out.root != nil && out.root.Rank() > 0 {
-			low, high = minOtherReturnFraction, maxRetryAfterFraction
+			low, high = minOtherReturnFraction, maxOtherReturnFraction
 		}
 		return ref.WithRetryAfter(ref.RetryAfter() + prx.rng.between(secondsToDuration(target*low), secondsToDuration(target*high)))
 	}
