Log the time left of requests and why their calls were given up

The lines of a request that is given up while its upstream runs it had one detail for two causes, "the deadline of the request or the end of the call that made it", so that they could not tell a deadline that is too short from a call that a node ends by itself. The two causes have a detail each now, and the lines of requests say how much time was left. No decision changes.

--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -366,6 +366,7 @@
 	}
 	if out.root != nil {
 		fields["root"], fields["class"], fields["team"] = out.root.ID().String(), out.root.Class(), out.root.Team()
+		fields["remaining_ms"] = out.root.Deadline().Sub(prx.clock.Now()).Milliseconds()
 	}
 	if out.snapshot != nil {
 		fields["declarations"], fields["hosts"] = out.snapshot.Version(), out.snapshot.Hosts().Version()
--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -53,7 +53,11 @@
 		if ref.Reason() == core.ReasonCancelled && callerCtx.Err() == nil {
 			// The context of an attempt is cancelled when the request reaches its deadline, or when the running call
 			// that made the request has ended. The sender is still waiting and has not cancelled anything.
-			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), "no answer arrived before the deadline of the request or the end of the call that made it").WithCause(ref)
+			detail := "no answer arrived before the deadline of the request"
+			if prx.clock.Now().Before(out.root.Deadline()) {
+				detail = "the call that made the request ended before an answer arrived"
+			}
+			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), detail).WithCause(ref)
 		}
 		return nil, prx.callerRefusal(out, ref)
 	}
