Let nested calls outlive the call that made them

Cause: a node ended all nested calls of its own upstream once the call that made them had ended. An upstream that makes several calls at the same time answers as soon as one of them fails. Its node then cancelled the others, and each node on the way down did the same to the calls of its upstream, so that one refusal cut runs at several services. Class: a node breaks off work that it does not own; whether a running call is still of use is known to the upstream that made it, which can close its connection. Change: a nested call ends with its own connection or at its deadline, which is never after that of its root request. The same link in the path of the own dialect (handle) is gone too. Test: TestNestedCallOutlivesCallThatMadeIt in proxy and handle. Before: status 504 in both cases of proxy, "cancelled" in handle; now 200. Ruled out: too short deadlines (645 ms to 1,171 ms were left), lost connections between nodes (none was lost at those moments), the end of the grace time (the calls ended within a second of SIGTERM).

--- a/core/coordination/handle/handle.go
+++ b/core/coordination/handle/handle.go
@@ -231,19 +231,10 @@
 	if err := checkKey(dst.snapshot, run.call.Root); err != nil {
 		return nil, err
 	}
-	// The nested call is cancelled with the running call as well as with its own connection.
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(run.ctx, cancel)
 	out := &outgoingCall{
 		dest: dst, root: run.call.Root, req: req, budget: run.budget, depth: run.call.Depth() + 1, recordFraction: recordFraction, parent: run,
 	}
-	ans, err := han.send(ctx, out)
-	if err != nil {
-		stop()
-		cancel()
-		return nil, err
-	}
-	return onClose(ans, func() { stop(); cancel() }), nil
+	return han.send(ctx, out)
 }
 
 // checkKey refuses a root request whose key has been revoked since the admission, or whose team is not the one that its
--- a/core/coordination/handle/handle_test.go
+++ b/core/coordination/handle/handle_test.go
@@ -228,6 +228,29 @@
 	})
 }
 
+// Guards against giving up a nested call that still runs because the call that made it has ended: its upstream may have
+// answered as soon as another one of its calls failed.
+func TestNestedCallOutlivesCallThatMadeIt(t *testing.T) {
+	withFleet(t, 2, func(ctx context.Context, t *testing.T, fle *fleet) {
+		for _, deep := range fle.deepestHosts() {
+			deep.upstream.meanServiceTime = 300 * time.Millisecond
+		}
+		nested := make(chan result, 1)
+		for _, hos := range fle.hostsOf(serviceName(0)) {
+			hos.upstream.onNestedCall = func(_ context.Context, req *core.Request) {
+				first := *req
+				go func() { nested <- resultOf(hos.handler.ServeNested(ctx, &first)) }()
+				time.Sleep(20 * time.Millisecond) // until the nested call runs
+				*req = *core.NewRequest(core.RequestSpec{CallToken: req.CallToken(), Service: "unknown", Method: http.MethodGet, Path: "/read", Header: http.Header{}})
+			}
+		}
+		callCtx, cancel := context.WithCancel(ctx)
+		checkEqual(t, result{Status: http.StatusServiceUnavailable}, resultOf(fle.ordered[0].handler.Serve(callCtx, newCall("ann", time.Now(), time.Now().Add(targetLatency)))))
+		cancel() // as the mesh does once a call has been served
+		checkEqual(t, result{Status: http.StatusOK}, <-nested)
+	})
+}
+
 // Guards against failures for callers when a host drains before a planned stop: its refusals must be retried at another
 // host, also for a non-idempotent route.
 func TestDrainingRetriedElsewhere(t *testing.T) {
--- a/core/coordination/handle/running.go
+++ b/core/coordination/handle/running.go
@@ -1,7 +1,6 @@
 package handle
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
@@ -15,7 +14,6 @@
 
 // runningCall is a call in flight at this host's upstream, with the state that its nested calls need.
 type runningCall struct {
-	ctx          context.Context
 	call         *core.Call
 	budget       *retry.Budget
 	failedNested *retry.FailedCalls
--- a/core/coordination/handle/serve.go
+++ b/core/coordination/handle/serve.go
@@ -153,7 +153,7 @@
 
 func (srv *serverCall) sendToUpstream(ctx context.Context) (*core.Answer, error) {
 	han, cal := srv.handler, srv.call
-	srv.running.ctx, srv.running.permit = ctx, srv.permit
+	srv.running.permit = srv.permit
 	srv.callToken = han.calls.add(srv.running)
 	srv.start = time.Now()
 	ans, err := han.settings.Upstream.Do(ctx, cal, srv.callToken)
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -383,6 +383,76 @@
 	}
 }
 
+// Guards against giving up a nested call that still runs because the call that made it has ended. An upstream that makes
+// several calls at the same time may answer as soon as one of them fails, and the others are running elsewhere; only the
+// upstream that made a call ends it early, by closing its connection.
+func TestNestedCallOutlivesCallThatMadeIt(t *testing.T) {
+	tests := []struct {
+		name string
+		// end ends the call that made the nested one.
+		end  func(cancel context.CancelFunc, answered chan struct{})
+		want int // status of the nested call
+	}{
+		{"the upstream has answered", func(_ context.CancelFunc, answered chan struct{}) { close(answered) }, http.StatusOK},
+		{"the caller has cancelled", func(cancel context.CancelFunc, _ chan struct{}) { cancel() }, http.StatusOK},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			sent, finish, answered := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			env := &fakeEnv{}
+			env.forward = func(ctx context.Context, _ string, _ *core.Call) (*core.Answer, error) {
+				close(sent)
+				select {
+				case <-finish:
+					return okAnswer()
+				case <-ctx.Done():
+					return nil, core.NewRefusal(core.ReasonCancelled, core.OutcomeUnknown, "the caller cancelled the call")
+				}
+			}
+			var prx *proxy.Proxy
+			nested := make(chan int, 1)
+			env.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+				go func() {
+					ans, err := prx.ServeRoot(context.WithoutCancel(ctx), request("/stock/1", call.AttemptID()+".c1", ""))
+					if err != nil {
+						nested <- core.AsRefusal(err).Status()
+						return
+					}
+					nested <- ans.Status()
+				}()
+				select {
+				case <-answered:
+					return answer(http.StatusInternalServerError, "another call failed", core.Feedback{}), nil
+				case <-ctx.Done():
+					return nil, core.NewRefusal(core.ReasonCancelled, core.OutcomeUnknown, "the caller cancelled the call")
+				}
+			}
+			prx = newProxy(t, env)
+			waitUnknownHealth()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				defer cancel() // as the mesh does once a call has been served
+				root := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
+				if ans, err := prx.Serve(ctx, core.NewCall(core.CallSpec{Root: root, Service: "orders", AttemptID: "r1", TargetLatency: time.Second})); err == nil {
+					_, _ = io.Copy(io.Discard, ans.Body())
+					_ = ans.Body().Close()
+				}
+			}()
+			<-sent
+			tst.end(cancel, answered)
+			<-ended
+			time.Sleep(20 * time.Millisecond) // in which the nested call would be given up
+			close(finish)
+			if diff := cmp.Diff(tst.want, <-nested); diff != "" {
+				t.Errorf("status of the nested call (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against running a call that the entry node admitted with an outdated configuration. The node beside the
 // upstream must refuse the call when the key of the call has been revoked, the node's failure domain is out of service,
 // or the call is for another service.
--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -40,24 +40,17 @@
 
 // send runs the attempts of a request within its deadline and returns the answer or refusal for its sender.
 func (prx *Proxy) send(callerCtx context.Context, out *outgoing) (*core.Answer, error) {
+	// A nested call does not end with the call that made it: its upstream may have answered already, and closes the
+	// connection of a nested call that it has no use for any more.
 	ctx, cancel := context.WithDeadline(callerCtx, out.root.Deadline())
-	if out.parent != nil {
-		// A nested call ends with the running call that made it as well as with its own connection.
-		stop := context.AfterFunc(out.parent.ctx, cancel)
-		defer stop()
-	}
 	ans, err := prx.runAttempts(ctx, out)
 	if err != nil {
 		cancel()
 		ref := core.AsRefusal(err)
 		if ref.Reason() == core.ReasonCancelled && callerCtx.Err() == nil {
-			// The context of an attempt is cancelled when the request reaches its deadline, or when the running call
-			// that made the request has ended. The sender is still waiting and has not cancelled anything.
-			detail := "no answer arrived before the deadline of the request"
-			if prx.clock.Now().Before(out.root.Deadline()) {
-				detail = "the call that made the request ended before an answer arrived"
-			}
-			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), detail).WithCause(ref)
+			// The context of an attempt is cancelled also when the request reaches its deadline. The sender is still
+			// waiting and has not cancelled anything.
+			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), "no answer arrived before the deadline of the request").WithCause(ref)
 		}
 		return nil, prx.callerRefusal(out, ref)
 	}
