Catch SIGHUP until the process ends

Cause: SIGHUP was caught only while the settings were watched, and SIGTERM ends that. Its default action, which ends the process, was then in force for the whole graceful shutdown, and for the first milliseconds of a process as well. Class: the life of a signal handler was that of the work that it triggers, not that of the process. Change: SIGHUP is caught first and never released. Ruled out: applying settings during the shutdown; its times are fixed by then.

--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -62,6 +62,10 @@
 
 // Run runs the node until SIGTERM or SIGINT.
 func (cmd *sidecarCommand) Run(ctx context.Context, cmds *commands) error {
+	// SIGHUP stays caught until the process ends, also during a graceful shutdown, because its default action ends the
+	// process at once.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	output := side.NewAsyncWriter(os.Stdout)
 	defer output.Close()
 	log := newLogger(cmds)
@@ -88,16 +92,13 @@
 	if err != nil {
 		return err
 	}
-	go watchSettings(ctx, func() { reloadSettings(cmd, source, nod, log) })
+	go watchSettings(ctx, hangup, func() { reloadSettings(cmd, source, nod, log) })
 	return nod.Run(ctx)
 }
 
-// watchSettings calls onChange at each SIGHUP and when the content of the settings file has changed, until the context
-// ends.
-func watchSettings(ctx context.Context, onChange func()) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// watchSettings calls onChange at each hangup signal and when the content of the settings file has changed, until the
+// context ends.
+func watchSettings(ctx context.Context, hangup <-chan os.Signal, onChange func()) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	path := os.Getenv(settingsFileVariable)
