Send calls to leaving hosts when there is no other

Cause: a host that announces that it is leaving was never chosen, like one that refuses calls because it is leaving. Class: a preference treated as a ban. Change: picker tells leaving hosts, which still take calls, from draining ones, which refuse them. A leaving host is chosen when all others are leaving or cannot be reached; the node's own host is treated in the same way. Test: TestLeavingHostsServeWhenThereIsNoOther; its second check needs the change. TestUnreachableAndLeavingHosts used an announcement for what its text says of hosts that take no calls; it is TestUnreachableAndDrainingHosts now, with the same checks on a host that has refused a call. Ruled out: a longer time in which calls of peers are served: those that run then would not finish within the grace time.

--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"amaranthline/core"
@@ -99,12 +98,11 @@
 	if len(out.tried) >= out.hostLimit() {
 		return "", false
 	}
-	tried := out.tried
 	if prx.Leaving() {
-		tried = append(slices.Clip(tried), prx.settings.Host)
+		prx.picker.SetLeaving(prx.clock.Now(), prx.settings.Host)
 	}
 	cans := (*prx.currentCandidates(out.snapshot))[out.service]
-	return prx.picker.Pick(prx.clock.Now(), cans, tried, len(out.tried) > 0, picker.RemotePenalty(out.targetLatency, out.nested()))
+	return prx.picker.Pick(prx.clock.Now(), cans, out.tried, len(out.tried) > 0, picker.RemotePenalty(out.targetLatency, out.nested()))
 }
 
 // sendAttempt sends one call to a host and records the result in the picker.
@@ -147,7 +145,10 @@
 	case errors.As(err, &fer):
 		fee := fer.Feedback()
 		prx.picker.Done(now, host, fee.ExpectedLatency(), fee.MarginalLatency(), isHostFault(ref.Reason()))
-		if fee.Leaving() || ref.Reason() == core.ReasonDraining {
+		switch {
+		case ref.Reason() == core.ReasonDraining:
+			prx.picker.SetDraining(now, host)
+		case fee.Leaving():
 			prx.picker.SetLeaving(now, host)
 		}
 		if ref.Reason() == core.ReasonCold && ref.RetryAfter() > 0 {
--- a/core/state/picker/picker.go
+++ b/core/state/picker/picker.go
@@ -26,7 +26,7 @@
 	// coldPenalty is added to the expected latency of a host that has refused a call because its upstream is cold, until
 	// the upstream is warm: other hosts are preferred meanwhile, and it is not avoided any longer.
 	coldPenalty = time.Second
-	leavingTime = 8 * time.Second // a host may be chosen again this long after it last announced that it is leaving
+	leavingTime = 8 * time.Second // how long an announcement of a host that it is leaving counts, or its refusal of a call for that
 	// Of a large service only some hosts are compared for a call, so that the cost of a choice and the number of
 	// connections do not grow with the service. They are the same hosts for each call while they can be reached; each
 	// caller has its own order of preference. maxLocal bounds the hosts in the caller's failure domain, maxRemote those in
@@ -65,7 +65,8 @@
 	failureRate      float64   // moving average of the fraction of failed calls, at failureRateAt
 	failureRateAt    time.Time // when the last call was counted
 	blockedUntil     time.Time // the host cannot be reached
-	leavingUntil     time.Time // the host is leaving
+	leavingUntil     time.Time // the host is leaving and still takes calls
+	drainingUntil    time.Time // the host refuses calls because it is leaving
 	coldUntil        time.Time // the upstream is cold, and the host has refused a call because of it
 }
 
@@ -113,8 +114,8 @@
 
 // Pick returns the candidate of the lowest cost that has not been tried, or false if there is none. The candidates are
 // in the caller's order of preference, which matters in a large service only. The cost of a host in another failure
-// domain is higher by remotePenalty. A blocked host is chosen only when there is no other, and never for a retry;
-// leaving hosts are not chosen.
+// domain is higher by remotePenalty. A leaving host is chosen only when all others are blocked or leaving too, a blocked
+// one only when there is no other, and never for a retry; hosts that are draining are not chosen.
 func (pic *Picker) Pick(now time.Time, candidates []Candidate, tried []string, isRetry bool, remotePenalty time.Duration) (string, bool) {
 	pic.mut.Lock()
 	defer pic.mut.Unlock()
@@ -139,15 +140,37 @@
 	return bestID, found
 }
 
-// eligible returns the candidates among which Pick chooses: those that are not blocked or, when all are, the blocked
-// ones. In a large service these are the first maxLocal of the local and the first maxRemote of the other candidates.
+// availability orders hosts by how willingly calls are sent to them.
+type availability uint8
+
+const (
+	available availability = iota
+	leaving
+	blocked
+	draining
+)
+
+func (hst *hostState) availability(now time.Time) availability {
+	switch {
+	case now.Before(hst.drainingUntil):
+		return draining
+	case now.Before(hst.blockedUntil):
+		return blocked
+	case now.Before(hst.leavingUntil):
+		return leaving
+	}
+	return available
+}
+
+// eligible returns the candidates among which Pick chooses: the available ones, or if there are none the leaving ones, or
+// else the blocked ones. In a large service these are the first maxLocal of the local and the first maxRemote of the other
+// candidates.
 func (pic *Picker) eligible(now time.Time, candidates []Candidate, tried []string) []Candidate {
 	out := pic.eligibleBuf[:0]
-	local, remote := 0, 0
-	for _, blocked := range []bool{false, true} {
+	for wanted := available; wanted <= blocked && len(out) == 0; wanted++ {
+		local, remote := 0, 0
 		for _, can := range candidates {
-			hst := pic.host(can.id)
-			if now.Before(hst.blockedUntil) != blocked || now.Before(hst.leavingUntil) || slices.Contains(tried, can.id) {
+			if pic.host(can.id).availability(now) != wanted || slices.Contains(tried, can.id) {
 				continue
 			}
 			if count := &remote; len(candidates) > maxCompared {
@@ -162,9 +185,6 @@
 			}
 			out = append(out, can)
 		}
-		if len(out) > 0 {
-			break
-		}
 	}
 	pic.eligibleBuf = out[:0]
 	return out
@@ -274,7 +294,7 @@
 	case leaving:
 		hst.leavingUntil = now.Add(leavingTime)
 	default:
-		hst.leavingUntil, hst.blockedUntil = time.Time{}, time.Time{}
+		hst.leavingUntil, hst.drainingUntil, hst.blockedUntil = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
@@ -285,6 +305,13 @@
 	pic.host(id).coldUntil = until
 }
 
+// SetDraining records that a host has refused a call because it is leaving.
+func (pic *Picker) SetDraining(now time.Time, id string) {
+	pic.mut.Lock()
+	defer pic.mut.Unlock()
+	pic.host(id).drainingUntil = now.Add(leavingTime)
+}
+
 // SetLeaving records that a host has announced that it is leaving.
 func (pic *Picker) SetLeaving(now time.Time, id string) {
 	pic.mut.Lock()
--- a/core/state/picker/picker_test.go
+++ b/core/state/picker/picker_test.go
@@ -101,17 +101,17 @@
 }
 
 // Guards against calls to hosts that cannot be reached while there are others, retries to such hosts, and calls to
-// leaving hosts.
-func TestUnreachableAndLeavingHosts(t *testing.T) {
+// hosts that refuse calls because they are leaving.
+func TestUnreachableAndDrainingHosts(t *testing.T) {
 	pic := newPicker()
 	pic.Sent("a")
 	pic.Unreachable(start, "a")
-	pic.SetLeaving(start, "b")
+	pic.SetDraining(start, "b")
 	if got := picks(pic, start, 20); got["c"] != 20 {
 		t.Errorf("hosts chosen for 20 calls are %v, want only c", got)
 	}
 	if host, ok := pic.Pick(start, candidates, []string{"c"}, true, remotePenalty); ok {
-		t.Errorf("a retry went to host %s, which cannot be reached or is leaving", host)
+		t.Errorf("a retry went to host %s, which cannot be reached or is draining", host)
 	}
 	if host, _ := pic.Pick(start, candidates[:2], nil, false, remotePenalty); host != "a" {
 		t.Errorf("without a reachable host the first attempt went to %q, want a", host)
@@ -122,6 +122,25 @@
 	}
 }
 
+// Guards against refusing calls while all hosts of a service are leaving, as when they restart one after the other: such
+// hosts still take calls, and are left alone only while there is another one.
+func TestLeavingHostsServeWhenThereIsNoOther(t *testing.T) {
+	pic := newPicker()
+	pic.SetPeerState(start, "a", true, true)
+	pic.SetLeaving(start, "b")
+	if got := picks(pic, start, 20); got["c"] != 20 {
+		t.Errorf("hosts chosen for 20 calls are %v, want only c, which is not leaving", got)
+	}
+	pic.SetPeerState(start, "c", false, false)
+	if got := picks(pic, start, 20); got["a"]+got["b"] != 20 {
+		t.Errorf("hosts chosen for 20 calls are %v, want only a and b, which are leaving but can be reached", got)
+	}
+	pic.SetDraining(start, "b")
+	if host, _ := pic.Pick(start, candidates, nil, true, remotePenalty); host != "a" {
+		t.Errorf("a retry went to %q, want a, the only host that takes calls", host)
+	}
+}
+
 // Guards against a cost of each choice and a number of connections that grow with the size of the service: each node
 // must send its calls to a few hosts of a large service, and replace those that cannot be reached by the next ones.
 func TestFewHostsOfLargeService(t *testing.T) {
