--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"amaranthline/core"
@@ -40,20 +39,17 @@
 
 // send runs the attempts of a request within its deadline and returns the answer or refusal for its sender.
 func (prx *Proxy) send(callerCtx context.Context, out *outgoing) (*core.Answer, error) {
+	// A nested call does not end with the call that made it: its upstream may have answered already, and closes the
+	// connection of a nested call that it has no use for any more.
 	ctx, cancel := context.WithDeadline(callerCtx, out.root.Deadline())
-	if out.parent != nil {
-		// A nested call ends with the running call that made it as well as with its own connection.
-		stop := context.AfterFunc(out.parent.ctx, cancel)
-		defer stop()
-	}
 	ans, err := prx.runAttempts(ctx, out)
 	if err != nil {
 		cancel()
 		ref := core.AsRefusal(err)
 		if ref.Reason() == core.ReasonCancelled && callerCtx.Err() == nil {
-			// The context of an attempt is cancelled when the request reaches its deadline, or when the running call
-			// that made the request has ended. The sender is still waiting and has not cancelled anything.
-			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), "no answer arrived before the deadline of the request or the end of the call that made it").WithCause(ref)
+			// The context of an attempt is cancelled also when the request reaches its deadline. The sender is still
+			// waiting and has not cancelled anything.
+			ref = core.NewRefusal(core.ReasonDeadline, ref.Outcome(), "no answer arrived before the deadline of the request").WithCause(ref)
 		}
 		return nil, prx.callerRefusal(out, ref)
 	}
@@ -102,12 +98,11 @@
 	if len(out.tried) >= out.hostLimit() {
 		return "", false
 	}
-	tried := out.tried
 	if prx.Leaving() {
-		tried = append(slices.Clip(tried), prx.settings.Host)
+		prx.picker.SetLeaving(prx.clock.Now(), prx.settings.Host)
 	}
 	cans := (*prx.currentCandidates(out.snapshot))[out.service]
-	return prx.picker.Pick(prx.clock.Now(), cans, tried, len(out.tried) > 0, picker.RemotePenalty(out.targetLatency, out.nested()))
+	return prx.picker.Pick(prx.clock.Now(), cans, out.tried, len(out.tried) > 0, picker.RemotePenalty(out.targetLatency, out.nested()))
 }
 
 // sendAttempt sends one call to a host and records the result in the picker.
@@ -150,7 +145,10 @@
 	case errors.As(err, &fer):
 		fee := fer.Feedback()
 		prx.picker.Done(now, host, fee.ExpectedLatency(), fee.MarginalLatency(), isHostFault(ref.Reason()))
-		if fee.Leaving() || ref.Reason() == core.ReasonDraining {
+		switch {
+		case ref.Reason() == core.ReasonDraining:
+			prx.picker.SetDraining(now, host)
+		case fee.Leaving():
 			prx.picker.SetLeaving(now, host)
 		}
 		if ref.Reason() == core.ReasonCold && ref.RetryAfter() > 0 {
