Refuse older declarations that a restored platform publishes anew

What callers saw: nothing yet; found by reading. After the platform is restored from a copy it holds the operator's older configuration until the operator has written the newer one again, and publishes it under a higher version. It would have replaced the newer one on all nodes. Cause: only the version of a document was compared, not that of its content. Change: declarations may give the operator's own version, which orders contents over restorations. A document may also say that it is settling, that is that recent changes may be missing from it: then failure domains out of service stay out, and a host list replaces only lists that are settling too. A host list with a cold host was refused as a whole if the version at which the host was found cold did not fit into 32 bits; such versions are valid now. TestDecodeHostsWithHighVersion failed before with "is not a whole number from 0 to". Ruled out: the operator's version in offers, so that peers need not pull what they refuse.

--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -88,6 +89,32 @@
 		vme.published, vme.embedded)
 }
 
+// RevertError says that declarations have an older content than those in force, although their version is higher: the
+// platform was restored from a copy and has not been given the newer content again.
+type RevertError struct {
+	refused, held uint64 // operator versions
+}
+
+// Error names both operator versions and the remedy.
+func (rer *RevertError) Error() string {
+	return fmt.Sprintf("its operator version %d is below %d, which is in force; wait until operators publish theirs again", rer.refused, rer.held)
+}
+
+// SettlingError says that a host list was read while running hosts may still be missing from it.
+type SettlingError struct{}
+
+// Error names the cause and the remedy.
+func (*SettlingError) Error() string {
+	return "hosts were still registering when it was read; wait for a list that is complete"
+}
+
+// isOlderContent reports whether a document was refused because a newer or more complete one is in force.
+func isOlderContent(err error) bool {
+	var rer *RevertError
+	var ser *SettlingError
+	return errors.As(err, &rer) || errors.As(err, &ser)
+}
+
 // heldDocument is a document in force.
 type heldDocument struct {
 	Version
@@ -97,7 +124,8 @@
 
 // Store holds the documents in force: of each name, the valid document with the highest version that it received. Because
 // only a higher version replaces a document, a stale source cannot revert a change, and all nodes that received the same
-// documents hold the same one.
+// documents hold the same one. A platform that was restored from a copy publishes older contents under higher versions;
+// these never replace newer ones.
 type Store struct {
 	held         map[string]*heldDocument // by document name
 	refused      []*DocumentError         // oldest first
@@ -206,12 +234,23 @@
 		if err != nil {
 			return nil, err
 		}
+		if hos.Settling() && sto.hosts != nil && !sto.hosts.Settling() {
+			return nil, &SettlingError{}
+		}
 		return func() { sto.hosts = hos }, checkEmbeddedVersion(doc, hos.Version())
 	}
 	dec, err := decl.Decode(doc.Data())
 	if err != nil {
 		return nil, err
 	}
+	if held := sto.declarations; held != nil {
+		if dec.OperatorVersion() > 0 && dec.OperatorVersion() < held.OperatorVersion() {
+			return nil, &RevertError{refused: dec.OperatorVersion(), held: held.OperatorVersion()}
+		}
+		if dec.Settling() {
+			dec = dec.KeepOutOfService(held)
+		}
+	}
 	return func() { sto.declarations = dec }, checkEmbeddedVersion(doc, dec.Version())
 }
 
--- a/core/coordination/gossip/watch.go
+++ b/core/coordination/gossip/watch.go
@@ -196,9 +196,20 @@
 		return &StaleError{read: ver, held: held}
 	}
 	syn.recordConfirmedLocked(rds, started)
+	if isOlderContent(err) {
+		return nil // a long poll returns the newer content as soon as the platform has it
+	}
 	return err
 }
 
+// recordUnchanged records a read that returned no document to put in force.
+func (syn *Syncer) recordUnchanged(name string, started time.Time) {
+	syn.mut.Lock()
+	defer syn.mut.Unlock()
+	syn.reads[name].lastRead = started
+	syn.recordConfirmedLocked(syn.reads[name], started)
+}
+
 // recordConfirmed records that the platform had no newer valid version of a document than this node at a time.
 func (syn *Syncer) recordConfirmed(name string, at time.Time) {
 	syn.mut.Lock()
--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -1,6 +1,7 @@
 package decl
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -182,22 +183,49 @@
 
 // Declarations is one valid version of the operators' declarations; it is immutable.
 type Declarations struct {
-	version       uint64
-	classes       []*Class
-	services      map[string]*Service
-	teams         map[string]*Team
-	keysByDigest  map[[sha256.Size]byte]*Key
-	keysByID      map[string]*Key
-	domains       map[string]*Domain
-	domainNames   []string
-	ingressRoutes []*IngressRoute
-	ingressByHost map[string][]*IngressRoute
-	limits        Limits
+	version         uint64
+	operatorVersion uint64
+	settling        bool
+	classes         []*Class
+	services        map[string]*Service
+	teams           map[string]*Team
+	keysByDigest    map[[sha256.Size]byte]*Key
+	keysByID        map[string]*Key
+	domains         map[string]*Domain
+	domainNames     []string
+	ingressRoutes   []*IngressRoute
+	ingressByHost   map[string][]*IngressRoute
+	limits          Limits
 }
 
 // Version returns the published version.
 func (dec *Declarations) Version() uint64 { return dec.version }
 
+// OperatorVersion returns the version that the operators gave to the content, or 0 if the document gives none.
+func (dec *Declarations) OperatorVersion() uint64 { return dec.operatorVersion }
+
+// ContentVersion returns the number that orders contents: OperatorVersion or, without one, Version. A configuration service
+// that was restored from a copy publishes an older content under a higher Version.
+func (dec *Declarations) ContentVersion() uint64 { return cmp.Or(dec.operatorVersion, dec.version) }
+
+// Settling reports whether the document was read while the configuration service may still lack recent changes of failure
+// domains.
+func (dec *Declarations) Settling() bool { return dec.settling }
+
+// KeepOutOfService returns the declarations with all failure domains out of service that are so in others.
+func (dec *Declarations) KeepOutOfService(other *Declarations) *Declarations {
+	kept := *dec
+	kept.domains = maps.Clone(dec.domains)
+	for name, dom := range kept.domains {
+		if old := other.Domain(name); old != nil && old.outOfService && !dom.outOfService {
+			out := *dom
+			out.outOfService = true
+			kept.domains[name] = &out
+		}
+	}
+	return &kept
+}
+
 // Classes returns the classes in ascending order of rank, the most important first.
 func (dec *Declarations) Classes() []*Class { return dec.classes }
 
@@ -249,8 +277,12 @@
 		services: map[string]*Service{}, teams: map[string]*Team{}, domains: map[string]*Domain{},
 		keysByDigest: map[[sha256.Size]byte]*Key{}, keysByID: map[string]*Key{},
 	}
-	if doc.checkFields(root, "version", "classes", "services", "teams", "keys", "domains", "entries", "limits") {
-		dec.version = doc.versionField(root)
+	if doc.checkFields(root, "version", "operator_version", "settling", "classes", "services", "teams", "keys", "domains", "entries", "limits") {
+		dec.version = doc.versionField(root, "version")
+		if root.fields["operator_version"] != nil {
+			dec.operatorVersion = doc.versionField(root, "operator_version")
+		}
+		dec.settling = doc.boolField(root, "settling")
 		dec.readClasses(doc, root)
 		dec.readServices(doc, root)
 		dec.readTeams(doc, root)
--- a/core/state/decl/decl_test.go
+++ b/core/state/decl/decl_test.go
@@ -110,6 +110,38 @@
 	}
 }
 
+// A host list under the version of a restored platform must be valid: such versions do not fit into 32 bits, and a list with
+// a cold host was refused as a whole.
+func TestDecodeHostsWithHighVersion(t *testing.T) {
+	hos, err := decl.DecodeHosts([]byte(`{"version": 4398046511109, "hosts": [
+{"id": "h1", "domain": "nord-a", "service": "stampa", "peer": "127.0.0.1:1", "state": "live", "cold": "2s", "cold_at": 4398046511105}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := hos.Host("h1").ColdVersion(); got != 4398046511105 {
+		t.Errorf("cold at version %d, want 4398046511105", got)
+	}
+}
+
+// Contents must be ordered by the version of the operators, which also rises when the platform was restored from a copy.
+// Without one the document's own version orders them.
+func TestContentVersion(t *testing.T) {
+	for operatorVersion, want := range map[string]uint64{"": 7, "31": 31} {
+		dec, err := decl.Decode(testDocument(func(text string) string {
+			if operatorVersion == "" {
+				return text
+			}
+			return strings.Replace(text, "{", `{"operator_version": `+operatorVersion+",", 1)
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := dec.ContentVersion(); got != want {
+			t.Errorf("content version with operator version %q is %d, want %d", operatorVersion, got, want)
+		}
+	}
+}
+
 // Decoders read bytes that a replica of the platform or a peer sent; no input may make them panic.
 func FuzzDecode(f *testing.F) {
 	f.Add(testDocument(nil))
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -56,6 +56,7 @@
 // Hosts is one valid version of the host list; it is immutable.
 type Hosts struct {
 	version   uint64
+	settling  bool
 	all       []*Host
 	byID      map[string]*Host
 	byService map[string][]*Host
@@ -65,6 +66,9 @@
 // Version returns the published version.
 func (hos *Hosts) Version() uint64 { return hos.version }
 
+// Settling reports whether the list was read while running hosts may still be missing from it.
+func (hos *Hosts) Settling() bool { return hos.settling }
+
 // All returns every host in ascending order of ID.
 func (hos *Hosts) All() []*Host { return hos.all }
 
@@ -139,8 +143,9 @@
 		return nil, err
 	}
 	list := &Hosts{byID: map[string]*Host{}, byService: map[string][]*Host{}, byDomain: map[string][]*Host{}}
-	if doc.checkFields(root, "version", "hosts") {
-		list.version = doc.versionField(root)
+	if doc.checkFields(root, "version", "settling", "hosts") {
+		list.version = doc.versionField(root, "version")
+		list.settling = doc.boolField(root, "settling")
 		list.readHosts(doc, root)
 	}
 	if len(doc.errs) > 0 {
@@ -172,7 +177,7 @@
 		}
 		if nod.fields["cold"] != nil {
 			item.coldRemaining = doc.durationField(nod, "cold")
-			item.coldVersion = uint64(doc.countField(nod, "cold_at"))
+			item.coldVersion = doc.versionField(nod, "cold_at")
 		}
 		doc.checkUnique(ids, nod, item.id)
 		doc.checkUnique(addrs, nod, item.peerAddr)
--- a/core/state/decl/parse.go
+++ b/core/state/decl/parse.go
@@ -279,8 +279,9 @@
 	return int(val)
 }
 
-func (doc *documentReader) versionField(nod *jsonNode) uint64 {
-	child := doc.requiredField(nod, "version")
+// versionField reads a whole number above zero.
+func (doc *documentReader) versionField(nod *jsonNode, name string) uint64 {
+	child := doc.requiredField(nod, name)
 	if child == nil {
 		return 0
 	}
