Compare contents, not documents, to find revoked keys

What callers could see: a request with a revoked key that runs. An entry node that starts right after the platform was restored from a copy may hold the older configuration under a higher version than the node beside the upstream. Cause: the node beside the upstream checks the key only if its declarations have a higher version than those of the entry node. Change: calls carry the content version, which is the operator's where there is one. Evidence: TestServeRefusals fails with the document's version ("the request was answered, want key_unknown", and a valid new key refused); it passes now. Ruled out: checking every key always, because an entry node with newer declarations may know keys that the other does not know yet.

--- a/core/call.go
+++ b/core/call.go
@@ -124,7 +124,7 @@
 	Authority           string        // Host header of the request, or ""
 	CallerService       string        // service of the host at which the call entered the system, or "" if not set
 	TargetLatency       time.Duration // target latency of the root's class, or 0 if not set
-	DeclarationsVersion uint64        // version of the declarations by which the entry node admitted the call, or 0 if not set
+	DeclarationsVersion uint64        // content version of the declarations by which the entry node admitted the call, or 0 if not set
 	Authenticated       bool          // this call itself came with a key, not only its root request
 	EntryRank           int           // rank that the entry node gave the root request, for a call that arrived from a peer
 	IsRetry             bool          // an attempt after the first, or a nested call that an upstream made while it ran such an attempt
@@ -189,7 +189,7 @@
 // TargetLatency returns the target latency of the root's class, or 0 if not set.
 func (cal *Call) TargetLatency() time.Duration { return cal.targetLatency }
 
-// DeclarationsVersion returns the version of the declarations by which the entry node admitted the call, or 0 if not set.
+// DeclarationsVersion returns the content version of the declarations by which the entry node admitted the call, or 0 if not set.
 func (cal *Call) DeclarationsVersion() uint64 { return cal.declarationsVersion }
 
 // Authenticated reports whether this call itself came with a key; a nested call of an authenticated root request did
--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -323,7 +323,7 @@
 		Root: out.root, Service: out.service, Method: out.request.Method(), Path: out.request.RequestURI(), Header: out.request.Header(),
 		Body: out.body.Reader(), Length: out.request.Length(), Idempotent: out.route.Idempotent(), Depth: depth,
 		AttemptID: out.request.AttemptID(), Authority: out.request.Authority(), CallerService: callerService, TargetLatency: out.targetLatency,
-		DeclarationsVersion: out.snapshot.Version(), Authenticated: out.authenticated, EntryRank: out.root.Rank(),
+		DeclarationsVersion: out.snapshot.ContentVersion(), Authenticated: out.authenticated, EntryRank: out.root.Rank(),
 		IsRetry: out.causedByRetry() || out.mayHaveReached > 1,
 	})
 }
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -40,6 +41,12 @@
 
 // snapshotWithCold is snapshot with a host list that shows the upstream of localHost as cold.
 func snapshotWithCold(t *testing.T, version int, revoked, domainOut bool, cold time.Duration) *decl.Snapshot {
+	t.Helper()
+	return snapshotWith(t, version, revoked, domainOut, cold, jsonObject{})
+}
+
+// snapshotWith is snapshotWithCold with further fields of the declarations.
+func snapshotWith(t *testing.T, version int, revoked, domainOut bool, cold time.Duration, fields jsonObject) *decl.Snapshot {
 	t.Helper()
 	sum := sha256.Sum256([]byte(apiKey))
 	keys := []jsonObject{{"id": "verona-1", "team": "verona", "sha256": hex.EncodeToString(sum[:])}}
@@ -59,7 +66,7 @@
 			"timeout": "800ms", "services": []jsonObject{{"name": service, "weight": 1}},
 		}
 	}
-	dec, err := decl.Decode(encode(t, jsonObject{
+	document := jsonObject{
 		"version": version, "classes": []jsonObject{class("confirm", 0), class("read", 2), class("lookup", 2), class("deep", 0)},
 		"services": []jsonObject{
 			{"name": "orders", "routes": []jsonObject{}, "upstream": jsonObject{"connections": 100, "health": "/health", "cold": jsonObject{"rate": 2, "lasts": "3s"}}},
@@ -72,7 +79,9 @@
 			route("confirm", "/confirm/", "orders", false), route("read", "/read/", "orders", true),
 			route("lookup", "/stock/", "stock", true), route("deep", "/deep/", "deep", true),
 		},
-	}))
+	}
+	maps.Copy(document, fields)
+	dec, err := decl.Decode(encode(t, document))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -403,6 +412,8 @@
 		{"accepted", snapshot(t, 5, false, false), "orders", 5, ""},
 		{"key revoked since", snapshot(t, 6, true, false), "orders", 5, core.ReasonKeyUnknown},
 		{"key newer than this node's declarations", snapshot(t, 4, true, false), "orders", 5, ""},
+		{"key revoked since, version of a restored platform", snapshotWith(t, 4, true, false, 0, jsonObject{"operator_version": 6}), "orders", 5, core.ReasonKeyUnknown},
+		{"key newer than the content of this node's declarations", snapshotWith(t, 90, true, false, 0, jsonObject{"operator_version": 4}), "orders", 5, ""},
 		{"failure domain out of service", snapshot(t, 6, false, true), "orders", 5, core.ReasonDomainOutOfService},
 		{"call for another service", snapshot(t, 5, false, false), "stock", 5, core.ReasonNoUpstream},
 	}
--- a/core/coordination/proxy/serve.go
+++ b/core/coordination/proxy/serve.go
@@ -91,7 +91,7 @@
 // declarations may know keys that this node does not know yet. A nested call carries no key and passes: its root
 // request was admitted, and refusing the call would only waste the work done so far.
 func checkKey(sna *decl.Snapshot, call *core.Call) error {
-	if !call.Authenticated() || sna.Version() <= call.DeclarationsVersion() {
+	if !call.Authenticated() || sna.ContentVersion() <= call.DeclarationsVersion() {
 		return nil
 	}
 	if key := sna.KeyByID(call.KeyID()); key == nil || key.Team().Name() != call.Team() {
