Order versions over a restoration of the store

What callers saw: requests handled by a configuration from before a change, 2 s and more after its acknowledgement, for up to as many changes as the store had lost. Cause: documents, keys and entries were ordered by the revision of the store, which goes back when the store is restored from a copy. What a node held from before the loss looked newer, so neither the watch nor gossip delivered changes. A watch from a revision that was given out again also went on and skipped the changes before it. For the two seconds in which backends and the operator write again what was lost, declarations are marked as settling, and a host list is not published to nodes that have a complete one. A reader that begins then recognises the new era by the version in force, which Read now gets; it may answer that the version in force is to be kept, and the watcher goes on with long polls. Entries of instances that left before the restoration are back in the copy until they expire. The roster remembers them, one minute and 1,024 at most, and ignores an entry that is not newer by start and sequence; one that was leaving stays so. Ruled out: counting from a high random number after each restoration (two readers would disagree); ordering declarations by the operator's version alone (evacuations and server entries have none).

--- a/core/coordination/gossip/fakefleet_test.go
+++ b/core/coordination/gossip/fakefleet_test.go
@@ -136,7 +136,7 @@
 	return ctx.Err()
 }
 
-func (src *source) Read(ctx context.Context, name string) (core.Document, error) {
+func (src *source) Read(ctx context.Context, name string, _ uint64) (core.Document, error) {
 	if err := src.beginCall(ctx); err != nil {
 		return core.Document{}, err
 	}
--- a/core/coordination/gossip/watch.go
+++ b/core/coordination/gossip/watch.go
@@ -63,11 +63,14 @@
 	}
 }
 
-func (syn *Syncer) holdsDocument(name string) bool {
+func (syn *Syncer) holdsDocument(name string) bool { return syn.heldVersion(name) > 0 }
+
+// heldVersion returns the number of the version in force, or 0 if there is none.
+func (syn *Syncer) heldVersion(name string) uint64 {
 	syn.mut.Lock()
 	defer syn.mut.Unlock()
-	_, ok := syn.store.Version(name)
-	return ok
+	ver, _ := syn.store.Version(name)
+	return ver.number
 }
 
 // runFallback reads the platform whenever a fallback read is due.
@@ -171,7 +174,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	counter.Add(1)
-	doc, err := syn.settings.Source.Read(ctx, name)
+	doc, err := syn.settings.Source.Read(ctx, name, syn.heldVersion(name))
+	if errors.Is(err, core.ErrUnchanged) {
+		syn.recordUnchanged(name, started)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/core/ports.go
+++ b/core/ports.go
@@ -136,8 +136,9 @@
 
 // ConfigSource reads the platform's configuration service.
 type ConfigSource interface {
-	// Read returns the current version of a document.
-	Read(ctx context.Context, name string) (Document, error)
+	// Read returns the current version of a document, or ErrUnchanged while that would be less complete than the version
+	// in force at the caller. That is heldVersion, or 0 for none.
+	Read(ctx context.Context, name string, heldVersion uint64) (Document, error)
 	// WaitChange returns a document once its version is above afterVersion, or ErrUnchanged after maxWait.
 	WaitChange(ctx context.Context, name string, afterVersion uint64, maxWait time.Duration) (Document, error)
 }
@@ -169,7 +170,7 @@
 // Data returns the published bytes.
 func (doc Document) Data() []byte { return doc.data }
 
-// ErrUnchanged means that the wait of WaitChange ended without a newer version of the document.
+// ErrUnchanged means that there is no newer version of the document to put in force.
 var ErrUnchanged = errUnchanged{}
 
 type errUnchanged struct{}
--- a/core/state/roster/roster.go
+++ b/core/state/roster/roster.go
@@ -11,8 +11,11 @@
 	// minExpiryOutage is the shortest outage of the registry in which instances expire. It is two heartbeat intervals; the
 	// registry removes an instance after three missed heartbeats.
 	minExpiryOutage = 3 * time.Second
-	// reregisterTime is how long after an outage all running instances have registered again.
-	reregisterTime = 2 * time.Second
+	// ReregisterTime is how long after an outage all running instances have registered again.
+	ReregisterTime = 2 * time.Second
+	// departureTime and maxDepartures limit which instances that left are remembered for a restoration of the registry.
+	departureTime = time.Minute
+	maxDepartures = 1024
 )
 
 // Instance is one registered run of an upstream process; each start is another instance.
@@ -26,19 +29,33 @@
 	ColdRemaining time.Duration // how much longer it was cold when the entry was written
 	ModVersion    uint64        // version of the registry that the write of the entry created
 	StartedMillis int64         // start of the process, Unix milliseconds
+	Sequence      uint64        // number of times that the instance has written its entry since its start
+}
+
+// departure is the last entry of an instance that has left or is leaving.
+type departure struct {
+	last     Instance
+	removed  bool
+	at       time.Time
+	restored bool // the registry was restored since then, so the entry or an earlier one may be back
 }
 
 // Roster is the list of instances as one reader of the registry sees it. Its content depends only on the version of the
-// registry, so that all readers publish the same list under the same version. It is not safe for concurrent use.
+// registry and, after a restoration of the registry, on which instances left before, so that all readers that saw the same
+// changes publish the same list under the same version. It is not safe for concurrent use.
 type Roster struct {
 	instances   map[string]Instance // by ID
 	version     uint64
-	outageStart time.Time // zero while the registry answers
-	syncedAt    time.Time // until then, running instances may be missing
+	outageStart time.Time            // zero while the registry answers
+	syncedAt    time.Time            // until then, running instances may be missing
+	departures  map[string]departure // by ID
+	entriesLost bool                 // the registry was restored since the list was last replaced
 }
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{instances: map[string]Instance{}} }
+func New() *Roster {
+	return &Roster{instances: map[string]Instance{}, departures: map[string]departure{}}
+}
 
 // RegistryFailed records that the registry did not answer.
 func (ros *Roster) RegistryFailed(now time.Time) {
@@ -51,34 +68,116 @@
 // published until they have had the time to register again.
 func (ros *Roster) RegistryAnswered(now time.Time) {
 	if !ros.outageStart.IsZero() && now.Sub(ros.outageStart) >= minExpiryOutage {
-		ros.syncedAt = now.Add(reregisterTime)
+		ros.syncedAt = now.Add(ReregisterTime)
 	}
 	ros.outageStart = time.Time{}
 }
 
+// RegistryRestored records that the registry was restored from a copy. Its latest changes are lost: entries of instances that
+// had left are back until they expire, and those of others are missing until they are written again.
+func (ros *Roster) RegistryRestored(now time.Time) {
+	lost := now
+	if !ros.outageStart.IsZero() {
+		lost = ros.outageStart
+	}
+	for id, dep := range ros.departures {
+		if lost.Sub(dep.at) > departureTime {
+			delete(ros.departures, id)
+			continue
+		}
+		dep.at, dep.restored = now, true
+		ros.departures[id] = dep
+	}
+	ros.entriesLost = true
+}
+
 // Synced reports whether the list can be published.
 func (ros *Roster) Synced(now time.Time) bool { return !now.Before(ros.syncedAt) }
 
+// SyncedAt returns the time from which the list can be published.
+func (ros *Roster) SyncedAt() time.Time { return ros.syncedAt }
+
 // Put adds or replaces an instance whose entry was written.
-func (ros *Roster) Put(ins Instance) {
+func (ros *Roster) Put(now time.Time, ins Instance) {
+	if ros.put(now, ins) {
+		ros.version = max(ros.version, ins.ModVersion)
+	}
+}
+
+// put is Put without the version. It returns false for an entry from before the departure of its instance.
+func (ros *Roster) put(now time.Time, ins Instance) bool {
+	if dep, ok := ros.departures[ins.ID]; ok && dep.restored && now.Sub(dep.at) <= departureTime && !writtenLater(ins, dep.last) {
+		if dep.removed {
+			return false
+		}
+		ins.Leaving = true
+	}
 	ros.instances[ins.ID] = ins
-	ros.version = max(ros.version, ins.ModVersion)
+	if ins.Leaving {
+		ros.recordDeparture(now, ins, false)
+	} else {
+		delete(ros.departures, ins.ID)
+	}
+	return true
+}
+
+// writtenLater reports whether an entry is newer than another one of the same instance, as far as they show.
+func writtenLater(ins, other Instance) bool {
+	if ins.StartedMillis == 0 {
+		return true
+	}
+	return cmp.Or(cmp.Compare(ins.StartedMillis, other.StartedMillis), cmp.Compare(ins.Sequence, other.Sequence)) > 0
+}
+
+// recordDeparture remembers the entry of an instance that is leaving or was removed. If the memory is full, it forgets the
+// departure that is the longest ago.
+func (ros *Roster) recordDeparture(now time.Time, ins Instance, removed bool) {
+	old, ok := ros.departures[ins.ID]
+	if ok && !writtenLater(ins, old.last) {
+		ins = old.last
+	}
+	ros.departures[ins.ID] = departure{last: ins, removed: removed, at: now, restored: old.restored && !removed}
+	if len(ros.departures) <= maxDepartures {
+		return
+	}
+	oldest := ins.ID
+	for id, dep := range ros.departures {
+		if now.Sub(dep.at) > departureTime {
+			delete(ros.departures, id)
+		} else if dep.at.Before(ros.departures[oldest].at) {
+			oldest = id
+		}
+	}
+	if len(ros.departures) > maxDepartures {
+		delete(ros.departures, oldest)
+	}
 }
 
 // Remove drops an instance whose entry was deleted or expired at a version of the registry.
-func (ros *Roster) Remove(version uint64, id string) {
-	if _, ok := ros.instances[id]; ok {
+func (ros *Roster) Remove(now time.Time, version uint64, id string) {
+	if ins, ok := ros.instances[id]; ok {
 		delete(ros.instances, id)
+		ros.recordDeparture(now, ins, true)
 		ros.version = max(ros.version, version)
 	}
 }
 
 // Replace replaces the list by all instances in the registry at a version.
-func (ros *Roster) Replace(version uint64, instances []Instance) {
-	clear(ros.instances)
+func (ros *Roster) Replace(now time.Time, version uint64, instances []Instance) {
+	before := ros.instances
+	ros.instances = map[string]Instance{}
+	listed := map[string]bool{}
 	for _, ins := range instances {
-		ros.instances[ins.ID] = ins
+		listed[ins.ID] = true
+		ros.put(now, ins)
+	}
+	for id, ins := range before {
+		// An instance whose entry the registry has lost did not leave.
+		if !listed[id] && !ros.entriesLost {
+			ros.recordDeparture(now, ins, true)
+		}
 	}
+	ros.entriesLost = false
 	if len(instances) > 0 {
 		ros.version = max(ros.version, version)
 	}
--- a/io/transport/config/config.go
+++ b/io/transport/config/config.go
@@ -128,7 +128,7 @@
 }
 
 // Read returns the current version of a document.
-func (cli *Client) Read(ctx context.Context, name string) (core.Document, error) {
+func (cli *Client) Read(ctx context.Context, name string, _ uint64) (core.Document, error) {
 	return cli.get(ctx, name, "", cli.timeout)
 }
 
--- a/io/transport/config/config_test.go
+++ b/io/transport/config/config_test.go
@@ -41,7 +41,7 @@
 	defer srv.Close()
 	cli, ctx := newClient(t, srv.URL+"/"), context.Background()
 	svc.Publish("hosts", []byte(`{"version": 3}`))
-	got := []string{describe(cli.Read(ctx, "hosts"))}
+	got := []string{describe(cli.Read(ctx, "hosts", 0))}
 	changed := make(chan string)
 	go func() { changed <- describe(cli.WaitChange(ctx, "hosts", 3, time.Minute)) }()
 	for svc.Calls().Waiting == 0 {
@@ -85,7 +85,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, err = cli.Read(context.Background(), "hosts")
+			_, err = cli.Read(context.Background(), "hosts", 0)
 			if !errors.As(err, tst.target) || !strings.Contains(err.Error(), tst.want) {
 				t.Errorf("got %T %v, want %T with %q", err, err, tst.target, tst.want)
 			}
@@ -104,7 +104,7 @@
 	cli := newClient(t, down.URL, live.URL)
 	var got []string
 	for range 3 {
-		_, err := cli.Read(context.Background(), "hosts")
+		_, err := cli.Read(context.Background(), "hosts", 0)
 		got = append(got, fmt.Sprint(err == nil, svc.Calls().Calls))
 	}
 	if diff := cmp.Diff([]string{"false 0", "true 1", "true 2"}, got); diff != "" {
