--- a/core/coordination/gossip/restore_test.go
+++ b/core/coordination/gossip/restore_test.go
@@ -9,8 +9,10 @@
 
 	"amaranthline/core"
 	"amaranthline/core/coordination/gossip"
+	"amaranthline/core/state/decl"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 // restored is added to the versions that a platform publishes after it was restored from a copy.
@@ -206,3 +208,50 @@
 		t.Errorf("whether each list was put in force (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a store that takes an older content of the operator, under any order of documents of a platform that was
+// restored, pulls among nodes and restarts.
+func TestOperatorVersionNeverFalls(t *testing.T) {
+	var docs []core.Document
+	for count := range uint64(3) {
+		for operatorVersion := uint64(1); operatorVersion <= 4; operatorVersion++ {
+			docs = append(docs, operatorDeclarations(count*restored+operatorVersion+count, operatorVersion))
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*gossip.Store{gossip.NewStore(), gossip.NewStore(), gossip.NewStore()}
+		inForce := make([]uint64, len(nodes))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			idx := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+			doc := rapid.SampledFrom(docs).Draw(t, "document")
+			peer := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")]
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
+			case 0:
+				nodes[idx], inForce[idx] = gossip.NewStore(), 0
+				continue
+			case 1, 2:
+				ver, ok := peer.Version(core.DocumentDeclarations)
+				if !ok || !nodes[idx].Supersedes(ver) {
+					continue
+				}
+				data, err := gossip.Decompress(peer.Compressed(ver.Name()))
+				if err != nil {
+					t.Fatal(err)
+				}
+				doc = core.NewDocument(ver.Name(), ver.Number(), data)
+			}
+			changed, _ := nodes[idx].Apply(doc, nil)
+			if !changed {
+				continue
+			}
+			dec, err := decl.Decode(doc.Data())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if dec.OperatorVersion() < inForce[idx] {
+				t.Fatalf("operator version %d was replaced by %d", inForce[idx], dec.OperatorVersion())
+			}
+			inForce[idx] = dec.OperatorVersion()
+		}
+	})
+}
