--- a/core/coordination/gossip/watch.go
+++ b/core/coordination/gossip/watch.go
@@ -63,11 +63,14 @@
 	}
 }
 
-func (syn *Syncer) holdsDocument(name string) bool {
+func (syn *Syncer) holdsDocument(name string) bool { return syn.heldVersion(name) > 0 }
+
+// heldVersion returns the number of the version in force, or 0 if there is none.
+func (syn *Syncer) heldVersion(name string) uint64 {
 	syn.mut.Lock()
 	defer syn.mut.Unlock()
-	_, ok := syn.store.Version(name)
-	return ok
+	ver, _ := syn.store.Version(name)
+	return ver.number
 }
 
 // runFallback reads the platform whenever a fallback read is due.
@@ -171,7 +174,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	counter.Add(1)
-	doc, err := syn.settings.Source.Read(ctx, name)
+	doc, err := syn.settings.Source.Read(ctx, name, syn.heldVersion(name))
+	if errors.Is(err, core.ErrUnchanged) {
+		syn.recordUnchanged(name, started)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -196,9 +203,20 @@
 		return &StaleError{read: ver, held: held}
 	}
 	syn.recordConfirmedLocked(rds, started)
+	if isOlderContent(err) {
+		return nil // a long poll returns the newer content as soon as the platform has it
+	}
 	return err
 }
 
+// recordUnchanged records a read that returned no document to put in force.
+func (syn *Syncer) recordUnchanged(name string, started time.Time) {
+	syn.mut.Lock()
+	defer syn.mut.Unlock()
+	syn.reads[name].lastRead = started
+	syn.recordConfirmedLocked(syn.reads[name], started)
+}
+
 // recordConfirmed records that the platform had no newer valid version of a document than this node at a time.
 func (syn *Syncer) recordConfirmed(name string, at time.Time) {
 	syn.mut.Lock()
