Ask operators for no correction of a document that is only older

Change: the remedy is left out where the document is older or less complete than the one in force. Evidence: TestRevertIsNamed checks the text.

--- a/core/coordination/gossip/restore_test.go
+++ b/core/coordination/gossip/restore_test.go
@@ -148,8 +148,8 @@
 	}
 	changed, err := sto.Apply(operatorDeclarations(restored+5, 5), nil)
 	var rer *gossip.RevertError
-	if changed || !errors.As(err, &rer) || !strings.Contains(err.Error(), "operator version 5 is below 7") {
-		t.Errorf("older content: changed %v, %v; want a RevertError that names versions 5 and 7", changed, err)
+	if changed || !errors.As(err, &rer) || !strings.Contains(err.Error(), "operator version 5 is below 7") || strings.Contains(err.Error(), "corrected") {
+		t.Errorf("older content: changed %v, %v; want a RevertError that names versions 5 and 7 and asks for no correction", changed, err)
 	}
 }
 
--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -69,8 +69,11 @@
 
 // Error names the document, its faults and the remedy.
 func (doe *DocumentError) Error() string {
-	return fmt.Sprintf("%s version %d is refused and the last accepted version stays in force: %v; publish a corrected document with a higher version",
-		doe.version.name, doe.version.number, doe.cause)
+	text := fmt.Sprintf("%s version %d is refused and the last accepted version stays in force: %v", doe.version.name, doe.version.number, doe.cause)
+	if isOlderContent(doe.cause) {
+		return text
+	}
+	return text + "; publish a corrected document with a higher version"
 }
 
 // Unwrap returns the error that lists the faults.
