Send a probe every second beside control messages

Cause: frames on other streams replace a probe, and each such check set the next one a whole second later. With control messages on a connection without calls, probes were up to 2 s apart. Only probes show that an upstream listens again, so its host could get no calls for 2 s after the restart, and TestUpstreamFaults failed at its bound of 2 s ("calls to the upstream that started cold"). Change: the check after replaced probes comes at the latest a second after the last probe, as docs/design.md says. Ruled out: a slow start of the upstream (it listened after 8 to 15 ms), a late check by its node (at most 100 ms), and other tests of the package: the time depends on when the restart falls between two probes.

--- a/io/transport/mesh/mesh_test.go
+++ b/io/transport/mesh/mesh_test.go
@@ -44,7 +44,10 @@
 }
 
 // fakeControl answers an Offer with an Offer that names the sender, refuses a Pull and has no reply to other messages.
-type fakeControl struct{ leaving atomic.Bool }
+type fakeControl struct {
+	leaving   atomic.Bool
+	loadReads atomic.Int64 // one for each probe that is sent or answered
+}
 
 func (con *fakeControl) HandleControl(_ context.Context, host string, msg proto.Message) (proto.Message, error) {
 	switch msg.(type) {
@@ -56,7 +59,10 @@
 	return nil, nil
 }
 
-func (con *fakeControl) LocalLoad() (float64, bool) { return 0.5, con.leaving.Load() }
+func (con *fakeControl) LocalLoad() (float64, bool) {
+	con.loadReads.Add(1)
+	return 0.5, con.leaving.Load()
+}
 
 // node is a running mesh whose events are counted.
 type node struct {
@@ -345,6 +351,39 @@
 	}
 }
 
+// Control messages on a connection without calls must not delay its probes beyond a second, because only probes show the
+// load of a peer that gets no calls.
+func TestControlMessagesDoNotDelayProbes(t *testing.T) {
+	const (
+		handshakeProbes = 2                       // the one with Hello, and the first of the session
+		messageDelay    = 650 * time.Millisecond  // after a probe; the next check is 250 ms later
+		maxInterval     = 1500 * time.Millisecond // a second, and time for a busy machine
+	)
+	server := startNode(t, "h2", echo, nil)
+	caller := startNode(t, "h1", echo, nil)
+	setPeer(caller, "h2", server.Addr(), "h2")
+	awaitProbe := func(count int64) time.Time {
+		for limit := time.Now().Add(eventTimeout); server.control.loadReads.Load() < count; time.Sleep(time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("probe %d did not arrive in time", count)
+			}
+		}
+		return time.Now()
+	}
+	last := awaitProbe(handshakeProbes)
+	for count := int64(handshakeProbes + 1); count <= handshakeProbes+3; count++ {
+		time.Sleep(messageDelay)
+		if _, err := caller.Exchange(t.Context(), "h2", &wire.Offer{}); err != nil {
+			t.Fatal(err)
+		}
+		arrived := awaitProbe(count)
+		if arrived.Sub(last) > maxInterval {
+			t.Errorf("probe %d arrived %v after the one before, want at most %v", count, arrived.Sub(last), maxInterval)
+		}
+		last = arrived
+	}
+}
+
 // The serving side must end a session whose peer stops probing, and the calls on it, although nothing closes the
 // connection.
 func TestServerEndsSilentSession(t *testing.T) {
--- a/io/transport/mesh/session.go
+++ b/io/transport/mesh/session.go
@@ -215,8 +215,9 @@
 		// the clock offset and the load.
 		if frames := ses.otherFrames.Load(); frames != seenFrames && missed == 0 && time.Since(lastProbe) < probeIntervalIdle {
 			seenFrames, awaitingAck = frames, false
-			nextCheck = time.Now().Add(ses.checkInterval(missed))
-			tick.Reset(time.Until(nextCheck))
+			wait := min(ses.checkInterval(missed), probeIntervalIdle-time.Since(lastProbe))
+			nextCheck = time.Now().Add(wait)
+			tick.Reset(wait)
 			continue
 		}
 		select {
