Let answers of upstreams at their deadline reach the caller

What callers saw: an own 504 of the node, with an unknown outcome, in the place of the answer with which the upstream ended the call at its deadline. Cause: the upstream was told all the time that the node itself waits, so that its answer left at the moment at which the node gave the call up. Change: the upstream is told 10 ms less, or half of a shorter time. Test: TestUpstreamAnswersAtItsDeadline. Ruled out: a longer wait of the node, which would go past the caller's deadline.

--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -20,9 +20,10 @@
 	defaultIdleTimeout   = 4 * time.Second // below the idle timeouts of common servers, which are 5 s and more
 	defaultDialTimeout   = 500 * time.Millisecond
 	maxHeaderBytes       = 32 << 10
-	maxBufferedBodyBytes = 64 << 10 // longer bodies are streamed; a retry may send a buffered one again
-	maxDrainedBytes      = 4 << 10  // longest body of a refusal or health answer that is read to reuse the connection
-	maxMismatchedAnswers = 2        // answers to other calls that are skipped before the call fails
+	maxBufferedBodyBytes = 64 << 10              // longer bodies are streamed; a retry may send a buffered one again
+	maxDrainedBytes      = 4 << 10               // longest body of a refusal or health answer that is read to reuse the connection
+	maxMismatchedAnswers = 2                     // answers to other calls that are skipped before the call fails
+	answerTime           = 10 * time.Millisecond // from the upstream's end of a call until the nodes give it up
 )
 
 // Settings are the parameters of a Client.
@@ -202,6 +203,8 @@
 	}
 	hdr := wire.EndToEnd(call.Header())
 	hdr.Del("Expect")
+	// The upstream ends the call a little before the nodes give it up, so that its answer still reaches them.
+	remaining = max(remaining-answerTime, remaining/2)
 	cli.dialect.SetCallHeaders(hdr, call, callToken, *cli.pinnedInstance.Load(), remaining)
 	host := cli.base.Host
 	if call.Authority() != "" {
--- a/io/transport/back/back_test.go
+++ b/io/transport/back/back_test.go
@@ -103,6 +103,28 @@
 	return back.ResultOf(ans, err), err
 }
 
+// Guards against giving up a call at the moment at which its upstream ends it: the upstream's answer must be passed on.
+func TestUpstreamAnswersAtItsDeadline(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, req *http.Request) {
+		var remainingMillis int
+		_, _ = fmt.Sscan(req.Header.Get("Request-Timeout"), &remainingMillis)
+		time.Sleep(time.Duration(remainingMillis) * time.Millisecond)
+		rsw.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	defer srv.Close()
+	cli := newClient(t, back.Settings{BaseURL: srv.URL})
+	for range 20 {
+		ans, err := cli.Do(t.Context(), newCall(http.MethodGet, "", 100*time.Millisecond, http.Header{}), "token")
+		if err != nil {
+			t.Fatalf("the call was given up before the upstream's answer: %v", err)
+		}
+		_ = ans.Body().Close()
+		if diff := cmp.Diff(http.StatusGatewayTimeout, ans.Status()); diff != "" {
+			t.Errorf("status (-want +got):\n%s", diff)
+		}
+	}
+}
+
 // The upstream must get the call token and the remaining time. It must not get the caller's key, a token that the
 // caller forged or hop-by-hop headers; the caller must not get reserved headers that the upstream set.
 func TestRequestHeaders(t *testing.T) {
