End requests of a stopping node before it stops

What callers saw: a request that a node took some seconds after SIGTERM was cut at the end of the grace time while its upstream worked on it. Cause: such requests kept a deadline after the end of the process. Class: work is accepted without the time that it may take. Change: while a host is leaving, a request gets no deadline later than 100 ms before its calls in flight are cut. Its upstream ends it at that time, and the answer reaches the caller through all hops. Nested calls are still taken: most take milliseconds, and refusing them would fail requests that can finish. Test: TestRequestsOfLeavingHostEndBeforeItStops. Before: deadlines of the root request and of the nested call 500 ms after the stop; now before it. Ruled out: refusing nested calls whose deadline is after the stop (nearly all have one, and nearly all finish before it).

--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -32,7 +32,10 @@
 	// drainingRetryAfter is how long a caller is told to wait that still sends requests to a node which is about to exit:
 	// its next one should go to another node, or to the next process of this one.
 	drainingRetryAfter = 500 * time.Millisecond
-	idlePollInterval   = 10 * time.Millisecond
+	// lastAnswerTime is the time between the latest deadline of a request and the end of a leaving host, in which the answers
+	// of the request's upstreams arrive.
+	lastAnswerTime   = 100 * time.Millisecond
+	idlePollInterval = 10 * time.Millisecond
 	// dependencyTrialSpacing is the time between two root requests of a class that all hosts of a service together admit
 	// although a service that the class needs is cold.
 	dependencyTrialSpacing = 250 * time.Millisecond
@@ -76,6 +79,7 @@
 	running    *runningCalls
 	leaving    atomic.Bool
 	draining   atomic.Bool
+	stopsAt    atomic.Pointer[time.Time] // latest deadline of requests that arrive while the host is leaving
 	rng        lockedRand
 	trialPhase float64 // in [0,1); spreads the trials of the hosts of a service
 
@@ -114,9 +118,14 @@
 	return low + time.Duration(lra.rng.Float64()*float64(high-low))
 }
 
-// Leave announces that this host is about to stop. Calls that still arrive are served, because peers learn that it is
-// leaving only with their next probe or answer.
-func (prx *Proxy) Leave() { prx.leaving.Store(true) }
+// Leave announces that this host is about to stop, and cuts the calls that are then in flight at a time. Calls that still
+// arrive are served, because peers learn that it is leaving only with their next probe or answer. Requests that arrive from
+// now on, nested calls too, have a deadline before that time, so that they end with an answer.
+func (prx *Proxy) Leave(stopsAt time.Time) {
+	latest := stopsAt.Add(-lastAnswerTime)
+	prx.stopsAt.Store(&latest)
+	prx.leaving.Store(true)
+}
 
 // Leaving reports whether Leave was called.
 func (prx *Proxy) Leaving() bool { return prx.leaving.Load() }
@@ -263,6 +272,9 @@
 	if out.request.Timeout() > 0 && out.request.Timeout() < out.route.Timeout() {
 		spec.Deadline = now.Add(out.request.Timeout())
 	}
+	if latest := prx.stopsAt.Load(); latest != nil && latest.Before(spec.Deadline) {
+		spec.Deadline = *latest
+	}
 	if out.request.APIKey() == "" {
 		out.parent = prx.running.parent(out.request.AttemptID())
 	}
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -263,7 +263,7 @@
 		return nil, core.NewRefusal(core.ReasonUpstreamFailed, core.OutcomeUnknown, "reset")
 	}
 	prx := newProxy(t, env)
-	prx.Leave() // so that this host is not picked
+	prx.Leave(time.Now().Add(time.Minute)) // so that this host is not picked
 	_, err := prx.ServeRoot(t.Context(), request("/confirm/1", "r1", apiKey))
 	checkRefusal(t, err, core.ReasonUpstreamFailed, core.OutcomeUnknown)
 	if got := len(env.hosts()); got != 1 {
@@ -392,6 +392,40 @@
 	}
 }
 
+// Guards against requests, nested calls above all, that arrive while the host is leaving and are cut without an answer when
+// it stops: their upstreams must end them before.
+func TestRequestsOfLeavingHostEndBeforeItStops(t *testing.T) {
+	deadlines := map[string]time.Time{} // by path
+	env := &fakeEnv{}
+	env.forward = func(_ context.Context, _ string, call *core.Call) (*core.Answer, error) {
+		deadlines[call.Path()] = call.Deadline()
+		return okAnswer()
+	}
+	prx := newProxy(t, env)
+	var stopsAt time.Time
+	env.upstream = func(ctx context.Context, call *core.Call) (*core.Answer, error) {
+		stopsAt = time.Now().Add(300 * time.Millisecond)
+		prx.Leave(stopsAt)
+		if _, err := prx.ServeRoot(ctx, request("/stock/root", "r2", apiKey)); err != nil {
+			t.Error(err)
+		}
+		prx.Drain()
+		return prx.ServeRoot(ctx, request("/stock/nested", call.AttemptID()+".c1", ""))
+	}
+	waitUnknownHealth()
+	serving := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
+	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{Root: serving, Service: "orders", AttemptID: "r1", TargetLatency: time.Second}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ans.Body().Close()
+	for _, path := range []string{"/stock/root", "/stock/nested"} {
+		if deadline, ok := deadlines[path]; !ok || !deadline.Before(stopsAt) {
+			t.Errorf("the deadline of %s is %v after the stop, want it before", path, deadline.Sub(stopsAt))
+		}
+	}
+}
+
 // Guards against giving up a nested call that still runs because the call that made it has ended. An upstream that makes
 // several calls at the same time may answer as soon as one of them fails, and the others are running elsewhere; only the
 // upstream that made a call ends it early, by closing its connection.
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -267,7 +267,7 @@
 	drain := nod.drainSettings.Load()
 	nod.log.WithField("pause", drain.pause).Info("graceful shutdown started")
 	nod.leaving.Store(true)
-	nod.proxy.Leave()
+	nod.proxy.Leave(time.Now().Add(drain.pause + drain.timeout))
 	nod.frontend.Drain()
 	time.Sleep(drain.pause)
 	nod.proxy.Drain()
