Let calls that a shutdown cuts log until the process ends

Cause: the log of the sidecar closed its queue when the node had stopped. Calls in flight that the end of the grace time cuts end a little later and log that; the first such line panicked with "send on closed channel". In a goroutine of net/http the panic is only printed, in one of an attempt it ends the process. Change: the queue is never closed. Close writes the lines queued until then; later ones are lost. Ruled out: WaitGroup misuse and nil pointers at the end of a shutdown; the log has no other panic.

--- a/io/side/eventlog.go
+++ b/io/side/eventlog.go
@@ -122,25 +122,41 @@
 type AsyncWriter struct {
 	lines    chan []byte
 	dropped  atomic.Uint64
+	closing  chan struct{}
 	finished chan struct{}
 	dst      io.Writer
 }
 
 // NewAsyncWriter starts the goroutine that writes to dst; Close ends it.
 func NewAsyncWriter(dst io.Writer) *AsyncWriter {
-	asw := &AsyncWriter{lines: make(chan []byte, maxQueuedLines), finished: make(chan struct{}), dst: dst}
+	asw := &AsyncWriter{
+		lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), finished: make(chan struct{}), dst: dst,
+	}
 	go asw.run()
 	return asw
 }
 
 func (asw *AsyncWriter) run() {
 	defer close(asw.finished)
-	for line := range asw.lines {
-		_, _ = asw.dst.Write(line) // a failure of the log output cannot be logged
+	for {
+		select {
+		case line := <-asw.lines:
+			asw.writeOut(line)
+		case <-asw.closing:
+			for range len(asw.lines) {
+				asw.writeOut(<-asw.lines)
+			}
+			return
+		}
 	}
 }
 
-// Write queues a copy of one line, or drops it when the queue is full.
+func (asw *AsyncWriter) writeOut(line []byte) {
+	_, _ = asw.dst.Write(line) // a failure of the log output cannot be logged
+}
+
+// Write queues a copy of one line, or drops it when the queue is full. Lines that are written after Close are lost: calls
+// that a shutdown cuts still log until the process ends, so lines is never closed.
 func (asw *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case asw.lines <- append([]byte(nil), line...):
@@ -153,8 +169,8 @@
 // Dropped returns how many lines found the queue full.
 func (asw *AsyncWriter) Dropped() uint64 { return asw.dropped.Load() }
 
-// Close writes the queued lines and returns once they are written. Write must not be called after it.
+// Close writes the queued lines and returns once they are written. It must be called once.
 func (asw *AsyncWriter) Close() {
-	close(asw.lines)
+	close(asw.closing)
 	<-asw.finished
 }
--- a/io/side/eventlog_test.go
+++ b/io/side/eventlog_test.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"amaranthline/io/side"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 )
 
@@ -43,3 +47,45 @@
 		t.Errorf("the summary counts %v lines as left out, want %d", got, events-written)
 	}
 }
+
+// Guards against a panic at the end of a graceful shutdown: calls that it cuts may still write lines while and after the
+// log is closed. Lines that were queued before must be written.
+func TestWritesWhileClosing(t *testing.T) {
+	var output bytes.Buffer
+	asw := side.NewAsyncWriter(&output)
+	const lines = 100
+	for range lines {
+		_, _ = asw.Write([]byte("before\n"))
+	}
+	closed := make(chan struct{})
+	panics := make(chan any, 8)
+	var grp sync.WaitGroup
+	for range cap(panics) {
+		grp.Go(func() {
+			defer func() {
+				if reason := recover(); reason != nil {
+					panics <- reason
+				}
+			}()
+			for written := 0; written < lines; time.Sleep(10 * time.Microsecond) {
+				_, _ = asw.Write([]byte("late\n"))
+				select {
+				case <-closed:
+					written++
+				default:
+				}
+			}
+		})
+	}
+	asw.Close()
+	written := output.String()
+	close(closed)
+	grp.Wait()
+	close(panics)
+	for reason := range panics {
+		t.Errorf("a write panicked: %v", reason)
+	}
+	if diff := cmp.Diff(lines, strings.Count(written, "before\n")); diff != "" {
+		t.Errorf("lines of before Close that were written (-want +got):\n%s", diff)
+	}
+}
