Count pulls without those of a node that starts again

The node that starts again counts from 0, and the sum before included its count, so that the unsigned difference went below zero. The code that is tested does not change.

--- a/core/coordination/gossip/restore_test.go
+++ b/core/coordination/gossip/restore_test.go
@@ -110,9 +110,9 @@
 		fle.publish(operatorDeclarations(10, 7))
 		fle.start(fle.ids...)
 		advance(10 * time.Second)
-		before := fle.totalPulls()
 		started := fle.watchers("domain-0")[0]
 		fle.node(started).stop()
+		before := fle.totalPulls() // the node that starts again counts from 0
 		fle.publish(operatorDeclarations(restored+5, 5))
 		fle.start(started)
 		for range 10 {
