--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -79,7 +79,7 @@
 	running    *runningCalls
 	leaving    atomic.Bool
 	draining   atomic.Bool
-	stopsAt    atomic.Pointer[time.Time] // latest deadline of requests that arrive while the host is leaving
+	latestEnd  atomic.Pointer[time.Time] // latest deadline of requests that arrive while the host is leaving
 	rng        lockedRand
 	trialPhase float64 // in [0,1); spreads the trials of the hosts of a service
 
@@ -118,12 +118,12 @@
 	return low + time.Duration(lra.rng.Float64()*float64(high-low))
 }
 
-// Leave announces that this host is about to stop, and cuts the calls that are then in flight at a time. Calls that still
-// arrive are served, because peers learn that it is leaving only with their next probe or answer. Requests that arrive from
-// now on, nested calls too, have a deadline before that time, so that they end with an answer.
+// Leave announces that this host is leaving and stops at a time, at which calls in flight are cut. Calls that still arrive
+// are served, because peers learn that it is leaving only with their next probe or answer. Requests that arrive from now
+// on, nested calls too, get a deadline before the stop, so that they end with an answer.
 func (prx *Proxy) Leave(stopsAt time.Time) {
 	latest := stopsAt.Add(-lastAnswerTime)
-	prx.stopsAt.Store(&latest)
+	prx.latestEnd.Store(&latest)
 	prx.leaving.Store(true)
 }
 
@@ -272,7 +272,7 @@
 	if out.request.Timeout() > 0 && out.request.Timeout() < out.route.Timeout() {
 		spec.Deadline = now.Add(out.request.Timeout())
 	}
-	if latest := prx.stopsAt.Load(); latest != nil && latest.Before(spec.Deadline) {
+	if latest := prx.latestEnd.Load(); latest != nil && latest.Before(spec.Deadline) {
 		spec.Deadline = *latest
 	}
 	if out.request.APIKey() == "" {
