--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -112,6 +112,14 @@
 	ups.store.Put(key, value)
 }
 
+// Drain reports that the upstream is leaving, and returns when the store has accepted that.
+func (ups *Upstream) Drain() {
+	ups.mut.Lock()
+	ups.state = "draining"
+	ups.mut.Unlock()
+	ups.beat()
+}
+
 // BecomeCold writes an entry that says that the upstream is cold again.
 func (ups *Upstream) BecomeCold(remaining time.Duration) {
 	ups.mut.Lock()
