--- a/core/ports.go
+++ b/core/ports.go
@@ -79,6 +79,9 @@
 	SetCallHeaders(hdr http.Header, call *Call, callToken, instance string, remaining time.Duration)
 	// ClassifyAnswer returns nil for an application's answer to this call, or else the refusal that the answer means.
 	ClassifyAnswer(call *Call, status int, hdr http.Header) *Refusal
+	// NamesCall reports whether an answer names the call that it belongs to. A late second copy of one that does not could be
+	// taken for the answer to the next call, so its connection is not used again.
+	NamesCall(hdr http.Header) bool
 	// SetAnswerHeaders changes the end-to-end headers of an upstream's answer.
 	SetAnswerHeaders(hdr http.Header)
 	// ParseHealth returns the health in the answer to a health check.
--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -334,7 +334,7 @@
 		default: // the rest of the body must not be taken for the start of another request
 		}
 	}
-	if !att.stopInterrupt() || rsp.Close || !bodySent || !connReusable(rsp) {
+	if !att.stopInterrupt() || !bodySent || !connReusable(rsp) || !att.cli.dialect.NamesCall(rsp.Header) {
 		return
 	}
 	att.con = nil
--- a/io/transport/back/conn_test.go
+++ b/io/transport/back/conn_test.go
@@ -30,6 +30,7 @@
 	return nil
 }
 
+func (echoDialect) NamesCall(hdr http.Header) bool           { return hdr.Get("X-Call") != "" }
 func (echoDialect) SetAnswerHeaders(http.Header)             {}
 func (echoDialect) ParseHealth(int, http.Header) core.Health { return core.Health{} }
 
--- a/io/transport/back/dialect.go
+++ b/io/transport/back/dialect.go
@@ -40,6 +40,9 @@
 	return ref
 }
 
+// NamesCall returns true, because these upstreams name no calls and their connections are used again all the same.
+func (defaultDialect) NamesCall(http.Header) bool { return true }
+
 // SetAnswerHeaders removes reserved headers, which only the system may set.
 func (defaultDialect) SetAnswerHeaders(hdr http.Header) { deleteReserved(hdr) }
 
