Tell answers to health checks and to calls apart

Cause: health checks and calls share connections, and an answer was compared with its request only if both have an identifier. A second copy of a health check's answer, late, was taken for the answer to the next call; the copy of a call's answer was taken for the answer to a health check, and the next call got that one. Change: an answer of the application that does not name the call is skipped, and so are answers that name a call where a health check waits. The price is one connection for each health check. Ruled out: bytes on an idle connection that are not noticed (the copies arrive after the next request was written).

--- a/core/ports.go
+++ b/core/ports.go
@@ -84,8 +84,8 @@
 	NamesCall(hdr http.Header) bool
 	// SetAnswerHeaders changes the end-to-end headers of an upstream's answer.
 	SetAnswerHeaders(hdr http.Header)
-	// ParseHealth returns the health in the answer to a health check.
-	ParseHealth(status int, hdr http.Header) Health
+	// ParseHealth returns the health in the answer to a health check, or false if the answer belongs to a call.
+	ParseHealth(status int, hdr http.Header) (Health, bool)
 }
 
 // Peers sends calls and messages to the nodes of other hosts.
--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -84,7 +84,11 @@
 // any.
 func (cli *Client) PinInstance(instance string) { cli.pinnedInstance.Store(&instance) }
 
-// Health sends a health check to a path of the upstream, over a connection of the pool.
+// errMismatchedHealth reports that the answers to calls arrived in place of the answer to a health check.
+var errMismatchedHealth = errors.New("the upstream answered calls in place of the health check")
+
+// Health sends a health check to a path of the upstream, over a connection of the pool. Late second answers to calls may
+// come first; they are skipped.
 func (cli *Client) Health(ctx context.Context, path string) (core.Health, error) {
 	con, err := cli.pool.get(ctx, true)
 	if err != nil {
@@ -93,23 +97,30 @@
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(expiredDeadline) })
 	defer stop()
 	req := &http.Request{Method: http.MethodGet}
-	_, err = con.Write(requestHead(req.Method, path, cli.base.Host, nil, 0))
 	var rsp *http.Response
-	if err == nil {
-		rsp, err = con.readResponse(req) //nolint:bodyclose // the connection is kept or closed as a whole
+	var hea core.Health
+	matches := false
+	if _, err = con.Write(requestHead(req.Method, path, cli.base.Host, nil, 0)); err == nil {
+		rsp, err = con.readMatching(req, func(rsp *http.Response) bool { //nolint:bodyclose // the connection is kept or closed as a whole
+			cli.detector.markUp()
+			hea, matches = cli.dialect.ParseHealth(rsp.StatusCode, rsp.Header)
+			return matches
+		})
+	}
+	if err == nil && !matches {
+		err = errMismatchedHealth
 	}
 	if err != nil {
 		con.discard()
 		return core.Health{}, err
 	}
-	cli.detector.markUp()
 	got, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxDrainedBytes))
-	if err != nil || got == maxDrainedBytes || rsp.Close || !stop() {
+	if err != nil || got == maxDrainedBytes || !connReusable(rsp) || !cli.dialect.NamesCall(rsp.Header) || !stop() {
 		con.discard()
 	} else {
 		con.put(rsp.Header.Get("Keep-Alive"))
 	}
-	return cli.dialect.ParseHealth(rsp.StatusCode, rsp.Header), nil
+	return hea, nil
 }
 
 // Close closes the idle connections.
@@ -273,30 +284,19 @@
 // readAnswer returns the answer to the call. It skips answers to other calls, which an upstream may send late or twice;
 // the dialect recognizes them by the call identifier that the upstream echoes.
 func (att *attempt) readAnswer() (*core.Answer, error) {
-	req := &http.Request{Method: att.call.Method()}
-	for skipped := 0; ; skipped++ {
-		rsp, err := att.con.readResponse(req) //nolint:bodyclose // the connection is kept or closed as a whole
-		if err != nil {
-			return nil, att.errorBeforeHead(err)
-		}
+	var ref *core.Refusal
+	rsp, err := att.con.readMatching(&http.Request{Method: att.call.Method()}, func(rsp *http.Response) bool { //nolint:bodyclose // the connection is kept or closed as a whole
 		att.cli.detector.markUp()
-		ref := att.cli.dialect.ClassifyAnswer(att.call, rsp.StatusCode, rsp.Header)
-		if ref == nil {
-			return att.newAnswer(rsp), nil
-		}
-		if ref.Reason() != core.ReasonMismatchedAnswer || skipped == maxMismatchedAnswers || !connReusable(rsp) {
-			return nil, att.refusalError(rsp, ref)
-		}
-		if _, err := io.Copy(io.Discard, rsp.Body); err != nil {
-			return nil, att.errorBeforeHead(err)
-		}
+		ref = att.cli.dialect.ClassifyAnswer(att.call, rsp.StatusCode, rsp.Header)
+		return ref == nil || ref.Reason() != core.ReasonMismatchedAnswer
+	})
+	switch {
+	case err != nil:
+		return nil, att.errorBeforeHead(err)
+	case ref != nil:
+		return nil, att.refusalError(rsp, ref)
 	}
-}
-
-// connReusable reports whether another answer can follow on the connection: the upstream keeps it open, and the end of
-// this answer is marked.
-func connReusable(rsp *http.Response) bool {
-	return !rsp.Close && (rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0)
+	return att.newAnswer(rsp), nil
 }
 
 func (att *attempt) newAnswer(rsp *http.Response) *core.Answer {
--- a/io/transport/back/conn.go
+++ b/io/transport/back/conn.go
@@ -229,6 +229,26 @@
 	}
 }
 
+// readMatching reads answers until one matches, and skips up to maxMismatchedAnswers others. Then, or if no further answer
+// can follow, it returns the last one although it does not match.
+func (con *conn) readMatching(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		rsp, err := con.readResponse(req)
+		if err != nil || matches(rsp) || skipped == maxMismatchedAnswers || !connReusable(rsp) {
+			return rsp, err
+		}
+		if _, err := io.Copy(io.Discard, rsp.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// connReusable reports whether another answer can follow on the connection: the upstream keeps it open, and the end of
+// this answer is marked.
+func connReusable(rsp *http.Response) bool {
+	return !rsp.Close && (rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0)
+}
+
 // requestHead returns the head of a request; length is that of the body in bytes, -1 for a chunked body.
 func requestHead(method, target, host string, hdr http.Header, length int64) []byte {
 	buf := make([]byte, 0, 512)
--- a/io/transport/back/conn_test.go
+++ b/io/transport/back/conn_test.go
@@ -30,9 +30,11 @@
 	return nil
 }
 
-func (echoDialect) NamesCall(hdr http.Header) bool           { return hdr.Get("X-Call") != "" }
-func (echoDialect) SetAnswerHeaders(http.Header)             {}
-func (echoDialect) ParseHealth(int, http.Header) core.Health { return core.Health{} }
+func (echoDialect) NamesCall(hdr http.Header) bool { return hdr.Get("X-Call") != "" }
+func (echoDialect) SetAnswerHeaders(http.Header)   {}
+func (echoDialect) ParseHealth(_ int, hdr http.Header) (core.Health, bool) {
+	return core.Health{}, hdr.Get("X-Call") == ""
+}
 
 func newNamedCall(id string) *core.Call {
 	return core.NewCall(core.CallSpec{
--- a/io/transport/back/dialect.go
+++ b/io/transport/back/dialect.go
@@ -47,8 +47,8 @@
 func (defaultDialect) SetAnswerHeaders(hdr http.Header) { deleteReserved(hdr) }
 
 // ParseHealth reports an upstream as serving when it answers with status 200.
-func (defaultDialect) ParseHealth(status int, _ http.Header) core.Health {
-	return core.NewHealth("", status == http.StatusOK, 0)
+func (defaultDialect) ParseHealth(status int, _ http.Header) (core.Health, bool) {
+	return core.NewHealth("", status == http.StatusOK, 0), true
 }
 
 func deleteReserved(hdr http.Header) {
