Send a body on unchanged when its answer begins early

Cause: when a handler writes the first part of an answer, net/http reads and discards up to 256 KiB of the rest of the request body, unless the handler has asked for both directions at once. The goroutine that sends the body on reads the same body, so each part went to one of the two. Change: an answer that begins before the body has been read to its end is written with both directions open (EnableFullDuplex). net/http then no longer makes sure that the rest of the body is not parsed as a request, so the connection is closed after such an answer. A body is not read any more once its request has been served: the goroutine that sends it on would read from a connection that net/http uses, and set deadlines on it. Evidence: TestAnswerBeforeEndOfBody, 36 combinations of lengths, chunks and ends of body and answer, fails in 19 without the change (a gap, a body that is too short) and passes with it. Ruled out: a lost frame between nodes (it happens beside the upstream as well), and the goroutine that sends the body on (the port alone shows the gap).

--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -119,14 +120,29 @@
 	if fro.nested {
 		serve = fro.handler.ServeNested
 	}
+	bod, hasBody := req.Body().(*limitedBody)
+	if hasBody {
+		defer bod.detach()
+	}
 	ans, err := serve(hrq.Context(), req)
 	if err != nil {
 		fro.writeRefusal(wri, hrq, core.AsRefusal(err))
 		return
 	}
+	if hasBody && !bod.ended.Load() {
+		allowEarlyAnswer(wri)
+	}
 	fro.writeAnswer(wri, ans, req.AttemptID())
 }
 
+// allowEarlyAnswer prepares an answer that is written while the request body is still being sent on. By default net/http
+// reads and discards the rest of the body itself before it writes the head of an answer, and the upstream would get a body
+// with a gap. The connection carries no further request, because nothing ensures that the body is read to its end.
+func allowEarlyAnswer(wri http.ResponseWriter) {
+	_ = http.NewResponseController(wri).EnableFullDuplex() // not supported by HTTP/2, which does not discard bodies
+	wri.Header().Set("Connection", "close")
+}
+
 // refuse counts and answers a request that is refused before it reaches the handler.
 func (fro *Frontend) refuse(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
 	fro.observer.Refused(ref.Reason(), "", "")
@@ -149,22 +165,31 @@
 	return core.NewRequest(spec), nil
 }
 
-// limitedBody limits the size of a request body and the time that each read waits for the sender.
+// limitedBody limits the size of a request body and the time that each read waits for the sender. A goroutine that sends the
+// body on may read it while the answer is written, but not after the request has been served.
 type limitedBody struct {
-	io.Reader
+	reader     io.Reader
 	controller *http.ResponseController
+	reading    sync.Mutex
+	ended      atomic.Bool // the body was read to its end
+	detached   atomic.Bool // the request has been served
 }
 
 func newLimitedBody(wri http.ResponseWriter, hrq *http.Request) *limitedBody {
-	return &limitedBody{Reader: http.MaxBytesReader(wri, hrq.Body, maxBodyBytes), controller: http.NewResponseController(wri)}
+	return &limitedBody{reader: http.MaxBytesReader(wri, hrq.Body, maxBodyBytes), controller: http.NewResponseController(wri)}
 }
 
 // Read returns a refusal as error when the body is too large or its sender too slow.
 func (lbo *limitedBody) Read(buf []byte) (int, error) {
+	lbo.reading.Lock()
+	defer lbo.reading.Unlock()
 	if err := lbo.controller.SetReadDeadline(time.Now().Add(maxBodyPause)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, fmt.Errorf("set the read deadline of the body: %w", err)
 	}
-	got, err := lbo.Reader.Read(buf)
+	if lbo.detached.Load() { // checked after the deadline is set, which may undo that of detach
+		return 0, http.ErrBodyReadAfterClose
+	}
+	got, err := lbo.reader.Read(buf)
 	if err == nil {
 		return got, nil
 	}
@@ -173,6 +198,7 @@
 		return got, core.NewRefusal(core.ReasonSlowSender, core.OutcomeUnknown, "the sender stalled while it sent the request body").WithCause(err)
 	}
 	_ = lbo.controller.SetReadDeadline(time.Time{})
+	lbo.ended.Store(errors.Is(err, io.EOF))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return got, core.NewRefusal(core.ReasonBodyTooLarge, core.OutcomeUnknown, "the request body is longer than 8 MiB").WithCause(err)
@@ -180,6 +206,18 @@
 	return got, err
 }
 
+// detach ends a read in progress and makes later ones fail, because the connection is then read by net/http: it discards a
+// part of an unread body, for which the sender has maxBodyPause.
+func (lbo *limitedBody) detach() {
+	lbo.detached.Store(true)
+	if !lbo.reading.TryLock() {
+		_ = lbo.controller.SetReadDeadline(time.Unix(1, 0))
+		lbo.reading.Lock()
+		_ = lbo.controller.SetReadDeadline(time.Now().Add(maxBodyPause))
+	}
+	lbo.reading.Unlock()
+}
+
 func (fro *Frontend) writeRefusal(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
 	if hrq.ContentLength != 0 && ref.Reason() != core.ReasonSlowSender {
 		// net/http reads part of an unread body before it sends the answer, and the sender may stall in that part.
--- a/io/transport/front/front_test.go
+++ b/io/transport/front/front_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +88,125 @@
 	}
 	return rsp.Status
 }
+
+// forwarder sends the body of each request on in a goroutine of its own, and its answer begins after a part of the body.
+type forwarder struct {
+	answerAfter int         // bytes of the body
+	answer      []byte      // written at once, or before the rest of the body is in
+	untilEnd    bool        // the answer ends after the body
+	forwarded   chan []byte // what was sent on of each body
+}
+
+func (fwd *forwarder) ServeRoot(_ context.Context, req *core.Request) (*core.Answer, error) {
+	first := make([]byte, fwd.answerAfter)
+	if _, err := io.ReadFull(req.Body(), first); err != nil {
+		return nil, err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		rest, _ := io.ReadAll(req.Body())
+		fwd.forwarded <- append(first, rest...)
+	}()
+	answer := io.Reader(bytes.NewReader(fwd.answer))
+	if fwd.untilEnd {
+		answer = io.MultiReader(answer, waitingReader{ended})
+	}
+	return core.NewAnswer(http.StatusOK, http.Header{}, io.NopCloser(answer), func() core.Feedback { return core.Feedback{} }), nil
+}
+
+func (fwd *forwarder) ServeNested(ctx context.Context, req *core.Request) (*core.Answer, error) {
+	return fwd.ServeRoot(ctx, req)
+}
+
+// waitingReader ends when the channel is closed.
+type waitingReader struct{ ended <-chan struct{} }
+
+func (war waitingReader) Read([]byte) (int, error) {
+	<-war.ended
+	return 0, io.EOF
+}
+
+// Guards against a body that reaches the upstream with a gap: when an answer begins before the request body is in, the body
+// must be sent on unchanged meanwhile, and the answer must arrive whole. Nothing of the body may be read as a next request.
+func TestAnswerBeforeEndOfBody(t *testing.T) {
+	for _, bodyBytes := range []int{100 << 10, 240 << 10, 1 << 20} {
+		for _, answerBytes := range []int{10, 5 << 10, 300 << 10} {
+			for _, chunked := range []bool{false, true} {
+				for _, untilEnd := range []bool{false, true} {
+					t.Run(fmt.Sprintf("body %d, answer %d, chunked %v, until the end of the body %v", bodyBytes, answerBytes, chunked, untilEnd), func(t *testing.T) {
+						t.Parallel()
+						body := make([]byte, 0, bodyBytes)
+						for len(body) < bodyBytes {
+							body = binary.BigEndian.AppendUint64(body, uint64(len(body)))
+						}
+						fwd := &forwarder{answerAfter: 80 << 10, answer: bytes.Repeat([]byte("a"), answerBytes), untilEnd: untilEnd, forwarded: make(chan []byte, 1)}
+						ser := httptest.NewUnstartedServer(nil)
+						ser.Config = front.New(front.Settings{Handler: fwd, Observer: base.NewMetrics()}).Server()
+						ser.Start()
+						defer ser.Close()
+						got := upload(t, ser.Listener.Addr().String(), body, chunked)
+						if diff := cmp.Diff(len(fwd.answer), len(got)); diff != "" {
+							t.Errorf("bytes of the answer (-want +got):\n%s", diff)
+						}
+						forwarded := <-fwd.forwarded
+						if untilEnd && len(forwarded) != len(body) {
+							t.Errorf("%d of %d bytes of the body were sent on, want all", len(forwarded), len(body))
+						}
+						if !bytes.HasPrefix(body, forwarded) {
+							t.Error("the body that was sent on has a gap")
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// upload sends a body in parts, reads the answer meanwhile, and returns its body. It reports a second answer, which would be
+// that to a part of the body.
+func upload(t *testing.T, addr string, body []byte, chunked bool) []byte {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	length := fmt.Sprintf("Content-Length: %d", len(body))
+	if chunked {
+		length = "Transfer-Encoding: chunked"
+	}
+	go func() {
+		_, _ = fmt.Fprintf(conn, "POST /service/path HTTP/1.1\r\nHost: service\r\n%s\r\n\r\n", length)
+		for part := range slices.Chunk(body, 16<<10) {
+			if chunked {
+				part = fmt.Appendf(nil, "%x\r\n%s\r\n", len(part), part)
+			}
+			if _, err := conn.Write(part); err != nil {
+				return // the server reads only a part of a long body once the answer has ended
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		if chunked {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+	}()
+	reader := bufio.NewReader(conn)
+	rsp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer rsp.Body.Close()
+	got, err := io.ReadAll(rsp.Body)
+	if err != nil {
+		t.Errorf("the answer broke off: %v", err)
+	}
+	if second, err := http.ReadResponse(reader, nil); err == nil {
+		_ = second.Body.Close()
+		t.Errorf("a part of the body was answered with %s", second.Status)
+	}
+	return got
+}
