--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -139,7 +139,7 @@
 // reads and discards the rest of the body itself before it writes the head of an answer, and the upstream would get a body
 // with a gap. The connection carries no further request, because nothing ensures that the body is read to its end.
 func allowEarlyAnswer(wri http.ResponseWriter) {
-	_ = http.NewResponseController(wri).EnableFullDuplex() // not supported by HTTP/2, which does not discard bodies
+	_ = http.NewResponseController(wri).EnableFullDuplex() // fails only for a writer that is not net/http's
 	wri.Header().Set("Connection", "close")
 }
 
