Keep the connection open after an early answer to a chunked body

What callers saw: the answer to a request whose chunked body was not in yet broke off ("connection reset by peer", or an unexpected end). Change: net/http is told that the body is too long, which is its only way to ask for that pause, where a read was ended. Ruled out: the load as the cause (it only makes the caller read later).

--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,7 +123,11 @@
 	}
 	bod, hasBody := req.Body().(*limitedBody)
 	if hasBody {
-		defer bod.detach()
+		defer func() {
+			if interrupted := bod.detach(); interrupted {
+				delayClose(wri)
+			}
+		}()
 	}
 	ans, err := serve(hrq.Context(), req)
 	if err != nil {
@@ -207,15 +212,24 @@
 }
 
 // detach ends a read in progress and makes later ones fail, because the connection is then read by net/http: it discards a
-// part of an unread body, for which the sender has maxBodyPause.
-func (lbo *limitedBody) detach() {
+// part of an unread body, for which the sender has maxBodyPause. It reports whether a read was in progress.
+func (lbo *limitedBody) detach() (interrupted bool) {
 	lbo.detached.Store(true)
 	if !lbo.reading.TryLock() {
+		interrupted = true
 		_ = lbo.controller.SetReadDeadline(time.Unix(1, 0))
 		lbo.reading.Lock()
 		_ = lbo.controller.SetReadDeadline(time.Now().Add(maxBodyPause))
 	}
 	lbo.reading.Unlock()
+	return interrupted
+}
+
+// delayClose makes net/http close the connection after the request, and wait before it does. A chunked body cannot be read on
+// after an interrupted read, and net/http would close the connection at once: the reset that the unread bytes cause could
+// overtake the end of the answer. There is no other way to ask for the delay than a body that is too long.
+func delayClose(wri http.ResponseWriter) {
+	_, _ = http.MaxBytesReader(wri, io.NopCloser(strings.NewReader("longer than the limit")), 0).Read(make([]byte, 1))
 }
 
 func (fro *Frontend) writeRefusal(wri http.ResponseWriter, hrq *http.Request, ref *core.Refusal) {
--- a/io/transport/front/front_test.go
+++ b/io/transport/front/front_test.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// upload sends a body in parts, reads the answer meanwhile, and returns its body. It reports a second answer, which would be
-// that to a part of the body.
+// upload sends a body in parts, begins a little later to read the answer, and returns its body. It reports a second answer,
+// which would be that to a part of the body.
 func upload(t *testing.T, addr string, body []byte, chunked bool) []byte {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
@@ -194,6 +194,7 @@
 			_, _ = io.WriteString(conn, "0\r\n\r\n")
 		}
 	}()
+	time.Sleep(100 * time.Millisecond) // an answer that the server has written may be lost by a reset until it is read
 	reader := bufio.NewReader(conn)
 	rsp, err := http.ReadResponse(reader, nil)
 	if err != nil {
