--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -26,10 +26,10 @@
 const (
 	// drainPauseFraction is the fraction of the grace time after which new calls are refused. Callers stop using the node
 	// after two failed readiness checks, which takes about two seconds; the rest of the grace time is for calls in flight.
-	// The platform excuses that a stopping node takes a request and breaks it off at the end of the grace time only in the
-	// first half of 6 s; with this fraction and maxDrainPause the refusals begin in time also on a busy machine.
-	drainPauseFraction = 0.45
-	maxDrainPause      = 2750 * time.Millisecond
+	// maxDrainPause bounds it: the platform excuses only for the first 3 s after SIGTERM that a stopping node takes a request
+	// and breaks it off at the end of the grace time.
+	drainPauseFraction = 0.5
+	maxDrainPause      = 3 * time.Second
 	// exitMargin is how long before the end of the grace time the wait for calls in flight ends, so that the process
 	// exits in time.
 	exitMargin = 300 * time.Millisecond
