Put host lists in force without their unusable hosts

Callers saw: requests sent to upstreams that had left.

Cause: a host list was valid as a whole or not at all, although each host on it is written by another process, and the check of an entry looked for fewer faults than the check of the list.

An ignored entry or host is logged once with key and reason, and counted in ignored_entries and ignored_items.

--- a/cmd/amaranthline/sidecar.go
+++ b/cmd/amaranthline/sidecar.go
@@ -90,7 +90,7 @@
 		Address: cmd.storeAddress(), Zones: cmd.Domains, PeerPort: peerAddr.Port(), EventLog: eventLog,
 	})
 	nod, err := side.New(set, side.Adapter{
-		Source: source, Callers: platform.CallerDialect{}, Upstream: platform.UpstreamDialect{},
+		Source: source, IgnoredEntries: source.IgnoredEntries, Callers: platform.CallerDialect{}, Upstream: platform.UpstreamDialect{},
 	}, eventLog, log)
 	if err != nil {
 		return err
--- a/core/coordination/gossip/gossip.go
+++ b/core/coordination/gossip/gossip.go
@@ -52,6 +52,9 @@
 	BootJitter time.Duration
 	// OnRefused is called for each document that is refused; it may be nil.
 	OnRefused func(error)
+	// OnIgnored is called once for each invalid item of a document in force, in order and never concurrently, until the
+	// item is valid or gone; it may be nil.
+	OnIgnored func(*decl.IgnoredItem)
 	// MaxBackoff is the longest pause of a watcher between calls to a platform that fails; zero means 5 s. A starting
 	// node uses twice that, limited to 10 s, or MaxBackoff if that is longer.
 	MaxBackoff time.Duration
@@ -61,8 +64,9 @@
 type Syncer struct {
 	settings             Settings
 	snapshot             atomic.Pointer[decl.Snapshot]
-	applyMut             sync.Mutex  // held from the validation of a document to the end of OnChange
-	changedFrom          chan string // a change to offer: the peer that the new version came from, or "" to offer it to all
+	applyMut             sync.Mutex      // held from the validation of a document to the end of OnChange
+	reportedIgnored      map[string]bool // names of the items that OnIgnored was called for; guarded by applyMut
+	changedFrom          chan string     // a change to offer: the peer that the new version came from, or "" to offer it to all
 	checkingHigherRanked atomic.Bool
 	counts               counters
 
@@ -420,6 +424,7 @@
 		return err
 	}
 	syn.announce(from)
+	syn.reportIgnored()
 	snap := syn.snapshot.Load()
 	if snap != nil && syn.settings.OnChange != nil {
 		syn.settings.OnChange(snap)
@@ -427,6 +432,26 @@
 	return nil
 }
 
+// reportIgnored calls OnIgnored for the items that were not ignored before. The caller holds applyMut.
+func (syn *Syncer) reportIgnored() {
+	reported := map[string]bool{}
+	for _, ign := range syn.Ignored() {
+		isNew := !reported[ign.Name()] && !syn.reportedIgnored[ign.Name()]
+		reported[ign.Name()] = true
+		if isNew && syn.settings.OnIgnored != nil {
+			syn.settings.OnIgnored(ign)
+		}
+	}
+	syn.reportedIgnored = reported
+}
+
+// Ignored returns what the documents in force contain but is not in force because it is invalid.
+func (syn *Syncer) Ignored() []*decl.IgnoredItem {
+	syn.mut.Lock()
+	defer syn.mut.Unlock()
+	return syn.store.Ignored()
+}
+
 // announce makes runGossip offer the change to all neighbours except the peer that it came from. If an earlier change
 // is still waiting to be offered, both are offered together and to all neighbours.
 func (syn *Syncer) announce(from string) {
--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -208,6 +208,14 @@
 // Hosts returns the host list in force, or nil if there is none.
 func (sto *Store) Hosts() *decl.Hosts { return sto.hosts }
 
+// Ignored returns what the documents in force contain but is not in force because it is invalid.
+func (sto *Store) Ignored() []*decl.IgnoredItem {
+	if sto.hosts == nil {
+		return nil
+	}
+	return sto.hosts.Ignored()
+}
+
 // Apply puts a document in force if it is valid and newer than the one in force, and reports whether it did.
 // If compressed is nil, Apply compresses the document itself.
 func (sto *Store) Apply(doc core.Document, compressed []byte) (bool, error) {
@@ -233,7 +241,7 @@
 // validate decodes a document and returns the function that puts the decoded form in force.
 func (sto *Store) validate(doc core.Document) (func(), error) {
 	if doc.Name() == core.DocumentHosts {
-		hos, err := decl.DecodeHosts(doc.Data())
+		hos, err := decl.DecodeHostsTolerant(doc.Data())
 		if err != nil {
 			return nil, err
 		}
--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -269,7 +269,7 @@
 
 // Decode decodes and validates declarations; the error joins one ValidationError for each error in the document.
 func Decode(data []byte) (*Declarations, error) {
-	doc, root, err := parse(data)
+	doc, root, err := parse(data, false)
 	if err != nil {
 		return nil, err
 	}
@@ -305,6 +305,7 @@
 		}
 		cla := &Class{name: doc.stringField(nod, "name")}
 		doc.checkUnique(seen, nod, cla.name)
+		seen[cla.name] = true
 		target := doc.requiredField(nod, "target")
 		if target != nil && doc.checkFields(target, "answered", "within") {
 			cla.targetRatio = doc.positiveField(target, "answered")
@@ -359,6 +360,7 @@
 		}
 		ser := &Service{name: doc.stringField(nod, "name")}
 		doc.checkUnique(seen, nod, ser.name)
+		seen[ser.name] = true
 		if strings.Contains(ser.name, "/") {
 			doc.addErrorAt(nod.fields["name"], "contains a slash", "use a name that fits in one path segment")
 		}
@@ -366,6 +368,7 @@
 		for _, item := range doc.listField(nod, "routes") {
 			if rou := dec.readRoute(doc, item); rou != nil {
 				doc.checkUnique(routes, item, rou.method+" "+normalizePattern(rou.segments))
+				routes[rou.method+" "+normalizePattern(rou.segments)] = true
 				ser.routes = append(ser.routes, rou)
 			}
 		}
@@ -451,6 +454,7 @@
 			tea.priority = doc.countField(nod, "priority")
 		}
 		doc.checkUnique(seen, nod, tea.name)
+		seen[tea.name] = true
 		if child := nod.fields["burst"]; child != nil && tea.burst < 1 {
 			doc.addErrorAt(child, "is below 1", "allow a burst of at least 1 request")
 		}
@@ -466,6 +470,7 @@
 		}
 		key := &Key{id: doc.stringField(nod, "id")}
 		doc.checkUnique(seen, nod, key.id)
+		seen[key.id] = true
 		name := doc.stringField(nod, "team")
 		key.team = dec.teams[name]
 		if name != "" && key.team == nil {
@@ -497,6 +502,7 @@
 			outOfService: doc.enumField(nod, "state", "in", "out") == "out", rateGroups: 1,
 		}
 		doc.checkUnique(seen, nod, dom.name)
+		seen[dom.name] = true
 		if child := nod.fields["rate_groups"]; child != nil {
 			val := doc.numberField(nod, "rate_groups")
 			dom.rateGroups = int(val)
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -61,8 +61,12 @@
 	byID      map[string]*Host
 	byService map[string][]*Host
 	byDomain  map[string][]*Host
+	ignored   []*IgnoredItem
 }
 
+// Ignored returns the hosts in the document that are not in the list because they are invalid.
+func (hos *Hosts) Ignored() []*IgnoredItem { return hos.ignored }
+
 // Version returns the published version.
 func (hos *Hosts) Version() uint64 { return hos.version }
 
@@ -137,8 +141,14 @@
 }
 
 // DecodeHosts decodes and validates a host list; the error joins one ValidationError for each error in the document.
-func DecodeHosts(data []byte) (*Hosts, error) {
-	doc, root, err := parse(data)
+func DecodeHosts(data []byte) (*Hosts, error) { return decodeHosts(data, false) }
+
+// DecodeHostsTolerant decodes a host list without its invalid hosts. Each host is written by another process, so one that
+// is wrong must not keep the others from coming into force. A list of which no host is valid is an error.
+func DecodeHostsTolerant(data []byte) (*Hosts, error) { return decodeHosts(data, true) }
+
+func decodeHosts(data []byte, tolerant bool) (*Hosts, error) {
+	doc, root, err := parse(data, tolerant)
 	if err != nil {
 		return nil, err
 	}
@@ -151,6 +161,7 @@
 	if len(doc.errs) > 0 {
 		return nil, errors.Join(doc.errs...)
 	}
+	list.ignored = doc.ignored
 	slices.SortFunc(list.all, func(one, two *Host) int { return strings.Compare(one.id, two.id) })
 	for _, hos := range list.all {
 		list.byService[hos.service] = append(list.byService[hos.service], hos)
@@ -161,32 +172,46 @@
 
 func (hos *Hosts) readHosts(doc *documentReader, root *jsonNode) {
 	ids, addrs := map[string]bool{}, map[string]bool{}
-	for _, nod := range doc.listField(root, "hosts") {
-		if !doc.checkFields(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold", "cold_at") {
-			continue
-		}
-		item := &Host{
-			id: doc.stringField(nod, "id"), domain: doc.stringField(nod, "domain"), service: doc.stringField(nod, "service"),
-			peerAddr: doc.stringField(nod, "peer"), leaving: doc.enumField(nod, "state", "live", "leaving") == "leaving",
-		}
-		if nod.fields["instance"] != nil {
-			item.instance = doc.stringField(nod, "instance")
-		}
-		if nod.fields["slots"] != nil {
-			item.slots = doc.countField(nod, "slots")
-		}
-		if nod.fields["cold"] != nil {
-			item.coldRemaining = doc.durationField(nod, "cold")
-			item.coldVersion = doc.versionField(nod, "cold_at")
-		}
+	nodes := doc.listField(root, "hosts")
+	for _, nod := range nodes {
+		first := len(doc.errs)
+		item := readHost(doc, nod)
 		doc.checkUnique(ids, nod, item.id)
 		doc.checkUnique(addrs, nod, item.peerAddr)
-		if _, err := netip.ParseAddrPort(item.peerAddr); item.peerAddr != "" && err != nil {
-			doc.addErrorAt(nod.fields["peer"], fmt.Sprintf("is %q", item.peerAddr), "give a numeric IP address and port such as 10.0.0.1:7002")
+		if doc.ignoreInvalid(nod, first) {
+			continue
 		}
+		ids[item.id], addrs[item.peerAddr] = true, true
 		hos.byID[item.id] = item
 		hos.all = append(hos.all, item)
 	}
+	if len(nodes) > 0 && len(hos.all) == 0 {
+		doc.addErrorAt(root.fields["hosts"], "has no valid host", "correct the hosts: "+doc.ignored[0].Reason())
+	}
+}
+
+func readHost(doc *documentReader, nod *jsonNode) *Host {
+	if !doc.checkFields(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold", "cold_at") {
+		return &Host{}
+	}
+	item := &Host{
+		id: doc.stringField(nod, "id"), domain: doc.stringField(nod, "domain"), service: doc.stringField(nod, "service"),
+		peerAddr: doc.stringField(nod, "peer"), leaving: doc.enumField(nod, "state", "live", "leaving") == "leaving",
+	}
+	if nod.fields["instance"] != nil {
+		item.instance = doc.stringField(nod, "instance")
+	}
+	if nod.fields["slots"] != nil {
+		item.slots = doc.countField(nod, "slots")
+	}
+	if nod.fields["cold"] != nil {
+		item.coldRemaining = doc.durationField(nod, "cold")
+		item.coldVersion = doc.versionField(nod, "cold_at")
+	}
+	if _, err := netip.ParseAddrPort(item.peerAddr); item.peerAddr != "" && err != nil {
+		doc.addErrorAt(nod.fields["peer"], fmt.Sprintf("is %q", item.peerAddr), "give a numeric IP address and port such as 10.0.0.1:7002")
+	}
+	return item
 }
 
 // Snapshot combines the declarations and the host list that the request path uses together.
--- a/core/state/decl/ingress.go
+++ b/core/state/decl/ingress.go
@@ -107,7 +107,9 @@
 		}
 		ing := dec.readIngressRoute(doc, nod)
 		doc.checkUnique(names, nod, ing.name)
+		names[ing.name] = true
 		doc.checkUnique(hostPrefixes, nod, ing.host+ing.prefix)
+		hostPrefixes[ing.host+ing.prefix] = true
 		dec.ingressRoutes = append(dec.ingressRoutes, ing)
 		dec.ingressByHost[ing.host] = append(dec.ingressByHost[ing.host], ing)
 	}
--- a/core/state/decl/parse.go
+++ b/core/state/decl/parse.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -43,15 +44,18 @@
 	list       []*jsonNode
 	fields     map[string]*jsonNode
 	fieldNames []string // keys of fields in document order
+	repeated   []error  // one for each field that is given twice
 }
 
 // documentReader parses a document, reads the fields of its nodes and collects the errors.
 type documentReader struct {
-	data    []byte
-	decoder *json.Decoder
-	errs    []error
-	offset  int64 // end of the data whose newlines are counted in line
-	line    int
+	data     []byte
+	decoder  *json.Decoder
+	errs     []error
+	tolerant bool           // an item of a list that has errors is ignored instead of making the document invalid
+	ignored  []*IgnoredItem // only if tolerant
+	offset   int64          // end of the data whose newlines are counted in line
+	line     int
 }
 
 // currentLine returns the line up to which the decoder has read, counted from 1.
@@ -70,9 +74,21 @@
 	doc.addError(nod.line, nod.path, detail, remedy)
 }
 
+// ignoreInvalid reports whether an item of a list is to be ignored because there have been errors since the first ones, and
+// removes these.
+func (doc *documentReader) ignoreInvalid(nod *jsonNode, first int) bool {
+	if !doc.tolerant || len(doc.errs) == first {
+		return false
+	}
+	list, _, _ := strings.Cut(nod.path, "[")
+	doc.ignored = append(doc.ignored, &IgnoredItem{list: list, path: nod.path, name: nod.itemName(), cause: errors.Join(doc.errs[first:]...)})
+	doc.errs = doc.errs[:first:first]
+	return true
+}
+
 // parse returns the root node of a document and the reader for its fields.
-func parse(data []byte) (*documentReader, *jsonNode, error) {
-	doc := &documentReader{data: data, decoder: json.NewDecoder(bytes.NewReader(data)), line: 1}
+func parse(data []byte, tolerant bool) (*documentReader, *jsonNode, error) {
+	doc := &documentReader{data: data, decoder: json.NewDecoder(bytes.NewReader(data)), tolerant: tolerant, line: 1}
 	if len(data) > maxDocumentBytes {
 		return nil, nil, &ValidationError{
 			line: 1, field: "document", detail: fmt.Sprintf("has %d bytes", len(data)),
@@ -110,7 +126,7 @@
 	}
 	nod := &jsonNode{line: doc.currentLine(), path: path}
 	if depth > maxNesting {
-		return nil, &ValidationError{line: nod.line, field: path, detail: "is nested too deeply", remedy: "follow the documented schema"}
+		return nod, doc.skipValue(tok) // the field of the schema that contains the value is reported
 	}
 	switch tok {
 	case json.Delim('{'):
@@ -122,6 +138,25 @@
 	return nod, nil
 }
 
+// skipValue reads to the end of the value that begins with a token.
+func (doc *documentReader) skipValue(first json.Token) error {
+	for tok, depth := first, 0; ; {
+		switch tok {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+		var err error
+		if tok, err = doc.decoder.Token(); err != nil {
+			return err
+		}
+	}
+}
+
 func (doc *documentReader) parseObject(nod *jsonNode, depth int) error {
 	nod.fields = map[string]*jsonNode{}
 	for doc.decoder.More() {
@@ -139,7 +174,7 @@
 			return err
 		}
 		if _, ok := nod.fields[name]; ok {
-			doc.addErrorAt(child, "is given twice", "keep one")
+			nod.repeated = append(nod.repeated, &ValidationError{line: child.line, field: child.path, detail: "is given twice", remedy: "keep one"})
 			continue
 		}
 		nod.fields[name] = child
@@ -163,17 +198,25 @@
 }
 
 // checkFields reports fields of an object that are not in names, the fields of the schema; it returns false if the node is
-// not an object.
+// not an object. A tolerant reader ignores such fields, because nodes of a later version may write them.
 func (doc *documentReader) checkFields(nod *jsonNode, names ...string) bool {
 	if nod.fields == nil {
 		doc.addErrorAt(nod, "is not an object", "write it in braces")
 		return false
 	}
 	for _, name := range nod.fieldNames {
-		if !contains(names, name) {
-			doc.addErrorAt(nod.fields[name], "is not a known field", fmt.Sprintf("use one of %q", names))
+		if contains(names, name) {
+			continue
+		}
+		child := nod.fields[name]
+		unknown := &ValidationError{line: child.line, field: child.path, detail: "is not a known field", remedy: fmt.Sprintf("use one of %q", names)}
+		if doc.tolerant {
+			doc.ignored = append(doc.ignored, &IgnoredItem{path: child.path, cause: unknown})
+		} else {
+			doc.errs = append(doc.errs, unknown)
 		}
 	}
+	doc.errs = append(doc.errs, nod.repeated...)
 	return true
 }
 
@@ -308,11 +351,7 @@
 
 // checkUnique reports a name that an earlier item of the same list has.
 func (doc *documentReader) checkUnique(seen map[string]bool, nod *jsonNode, name string) {
-	if name == "" {
-		return
-	}
-	if seen[name] {
+	if name != "" && seen[name] {
 		doc.addErrorAt(nod, fmt.Sprintf("repeats %q", name), "remove or rename one")
 	}
-	seen[name] = true
 }
--- a/core/state/roster/roster.go
+++ b/core/state/roster/roster.go
@@ -2,8 +2,13 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"maps"
+	"math"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -16,6 +21,7 @@
 	// departureTime and maxDepartures limit which instances that left are remembered for a restoration of the registry.
 	departureTime = time.Minute
 	maxDepartures = 1024
+	maxNameBytes  = 200 // of an identifier and of the name of a service
 )
 
 // Instance is one registered run of an upstream process; each start is another instance.
@@ -32,6 +38,27 @@
 	Sequence      uint64        // number of times that the instance has written its entry since its start
 }
 
+// Check returns why an instance cannot be listed, or nil. Its identifier must be visible ASCII, because calls name it in a
+// header.
+func (ins *Instance) Check() error {
+	if ins.ID == "" || len(ins.ID) > maxNameBytes || strings.ContainsFunc(ins.ID, func(chr rune) bool { return chr <= ' ' || chr > '~' }) {
+		return fmt.Errorf("the identifier is not 1 to %d visible ASCII characters", maxNameBytes)
+	}
+	if ins.Service == "" || len(ins.Service) > maxNameBytes {
+		return fmt.Errorf("the name of the service does not have 1 to %d bytes", maxNameBytes)
+	}
+	addr, err := netip.ParseAddr(ins.Host)
+	switch {
+	case err != nil || addr.Zone() != "" || addr.IsUnspecified() || addr.IsMulticast():
+		return errors.New("the address is not the IP address of one host")
+	case ins.Slots < 1 || ins.Slots > math.MaxInt32:
+		return fmt.Errorf("the number of slots is not from 1 to %d", math.MaxInt32)
+	case ins.ColdRemaining < 0:
+		return errors.New("the remaining time of the cold start is below 0")
+	}
+	return nil
+}
+
 // departure is the last entry of an instance that has left or is leaving.
 type departure struct {
 	last     Instance
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -122,6 +122,7 @@
 		{"limit", "Concurrency limit of the own upstream, in calls.", func() float64 { return float64(nod.gate.Limit()) }},
 		{"in_flight", "Calls in flight at the own upstream.", func() float64 { return float64(nod.gate.InFlight()) }},
 		{"waiting", "Calls waiting for the own upstream.", func() float64 { return float64(nod.gate.Queued()) }},
+		{"ignored_items", "Invalid items of the configuration documents in force.", func() float64 { return float64(len(nod.syncer.Ignored())) }},
 	}
 	for _, gau := range gauges {
 		nod.metrics.RegisterGauge(gau.name, gau.help, gau.read)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -111,7 +111,7 @@
 	nod.hostView = member.New(member.Settings{Host: nod.settings.Host, Domain: nod.settings.Domain, Service: nod.settings.Service})
 	nod.syncer = gossip.New(gossip.Settings{
 		Host: nod.settings.Host, Domain: nod.settings.Domain, Seeds: nod.seedHosts(), Peers: nod.mesh, Source: source,
-		Rand: newRand(), OnChange: nod.onSnapshot,
+		Rand: newRand(), OnChange: nod.onSnapshot, OnIgnored: nod.onItemIgnored,
 	})
 	dedupTable, detector := dedup.New(dedup.DefaultSettings(nod.settings.Host)), crash.New(crash.DefaultSettings())
 	nod.exchanger = fanout.New(fanout.Settings{Host: nod.settings.Host, Peers: nod.mesh, Dedup: dedupTable, Crash: detector})
@@ -180,6 +180,11 @@
 	}
 }
 
+// onItemIgnored logs an invalid item of a configuration document.
+func (nod *Node) onItemIgnored(ign *decl.IgnoredItem) {
+	nod.log.WithFields(logrus.Fields{"item": ign.Name(), "reason": ign.Reason()}).Warn("item ignored")
+}
+
 // isReady reports whether the node should get requests of callers: it has a configuration, and its share of the teams'
 // rates has had time to gain tokens. A node that gets no share becomes ready after maxShareWait, because it can serve
 // public routes and borrow tokens.
--- a/io/side/admin.go
+++ b/io/side/admin.go
@@ -82,7 +82,7 @@
 	return sta
 }
 
-func (nod *Node) registerGauges() {
+func (nod *Node) registerGauges(ignoredEntries func() int) {
 	for _, gau := range []struct {
 		name, help string
 		read       func() int
@@ -90,7 +90,12 @@
 		{"places", "Calls that the own upstream may run at once.", func() int { slots, _, _ := nod.proxy.SlotUsage(); return slots }},
 		{"busy", "Calls at the own upstream.", func() int { _, inFlight, _ := nod.proxy.SlotUsage(); return inFlight }},
 		{"waiting", "Calls waiting for the own upstream.", func() int { _, _, queued := nod.proxy.SlotUsage(); return queued }},
+		{"ignored_items", "Invalid items of the configuration documents in force.", func() int { return len(nod.syncer.Ignored()) }},
+		{"ignored_entries", "Registry entries that this node read and cannot use.", ignoredEntries},
 	} {
+		if gau.read == nil {
+			continue
+		}
 		nod.metrics.RegisterGauge(gau.name, gau.help, func() float64 { return float64(gau.read()) })
 	}
 }
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -89,14 +89,14 @@
 	})
 	nod.syncer = gossip.New(gossip.Settings{
 		Host: set.Host, Domain: set.Domain, Peers: nod.mesh, Source: ada.Source, Rand: newRand(),
-		OnChange: nod.onSnapshot, OnRefused: nod.onDocumentRefused, BootJitter: bootJitter, MaxBackoff: maxSourceBackoff,
+		OnChange: nod.onSnapshot, OnRefused: nod.onDocumentRefused, OnIgnored: nod.onItemIgnored, BootJitter: bootJitter, MaxBackoff: maxSourceBackoff,
 	})
 	nod.proxy = proxy.New(proxy.Settings{
 		Host: set.Host, Domain: set.Domain, Service: set.Service, Peers: nod.mesh, Upstream: nod.upstream,
 		Snapshot: nod.syncer.Snapshot, Observer: nod.metrics, EventLog: eventLog, Rand: newRand(), RetryShare: set.RetryShare,
 	})
 	nod.frontend = front.New(front.Settings{Handler: nod.proxy, Observer: nod.metrics, Dialect: ada.Callers})
-	nod.registerGauges()
+	nod.registerGauges(ada.IgnoredEntries)
 	nod.Reload(set)
 	return nod, nil
 }
@@ -141,6 +141,11 @@
 	nod.eventLog.Note("document refused", "", map[string]any{"error": err.Error()})
 }
 
+// onItemIgnored logs an invalid item of a configuration document.
+func (nod *Node) onItemIgnored(ign *decl.IgnoredItem) {
+	nod.eventLog.Note("item ignored", "", map[string]any{"item": ign.Name(), "reason": ign.Reason()})
+}
+
 // connectPeers tells the mesh the addresses of all listed hosts, and to which of them it must keep connections.
 func (nod *Node) connectPeers() {
 	sna := nod.syncer.Snapshot()
--- a/io/side/settings.go
+++ b/io/side/settings.go
@@ -29,9 +29,10 @@
 
 // Adapter connects a node to the platform on which it runs.
 type Adapter struct {
-	Source   core.ConfigSource
-	Callers  core.CallerDialect
-	Upstream core.UpstreamDialect
+	Source         core.ConfigSource
+	IgnoredEntries func() int // number of registry entries that Source read and cannot use; may be nil
+	Callers        core.CallerDialect
+	Upstream       core.UpstreamDialect
 }
 
 // Check returns an error that names wrong settings and the remedies.
