Use only hosts of declared services from the registry

Callers saw: 503 for all requests to a service whose only upstream has another program on its host, such as a backup agent that registers itself with a later start. No node listed the upstream any more. Agents on hosts of their own took part in rates and in watching the store.

Cause: of several entries with one address, the one that started last was listed, whatever its service, because a host has one upstream. The platform says that an entry of a service that is not named is none, but the reader of the registry does not know the configuration.

Ruled out: leaving such entries out of the list (lists of two readers would differ under one version), telling them by their ports.

--- a/core/coordination/gossip/gossip.go
+++ b/core/coordination/gossip/gossip.go
@@ -52,8 +52,11 @@
 	BootJitter time.Duration
 	// OnRefused is called for each document that is refused; it may be nil.
 	OnRefused func(error)
-	// OnIgnored is called once for each invalid item of a document in force, in order and never concurrently, until the
-	// item is valid or gone; it may be nil.
+	// OnlyDeclared keeps hosts of services that are not declared out of use, where programs that are no upstreams may be on
+	// the host list.
+	OnlyDeclared bool
+	// OnIgnored is called once for each item of a document in force that is invalid or not used, in order and never
+	// concurrently, until the item is in use or gone; it may be nil.
 	OnIgnored func(*decl.IgnoredItem)
 	// MaxBackoff is the longest pause of a watcher between calls to a platform that fails; zero means 5 s. A starting
 	// node uses twice that, limited to 10 s, or MaxBackoff if that is longer.
@@ -99,6 +102,9 @@
 		settings: set, changedFrom: make(chan string, 1), store: NewStore(), overlay: NewOverlay(set.Host, set.Domain),
 		freshness: NewFreshness(time.Now()), reads: map[string]*readState{}, pulls: map[string]*pullState{},
 	}
+	if set.OnlyDeclared {
+		syn.store.UseOnlyDeclared()
+	}
 	for _, name := range documentNames {
 		syn.reads[name] = &readState{}
 		syn.pulls[name] = &pullState{wake: make(chan struct{}, 1)}
@@ -466,12 +472,13 @@
 func (syn *Syncer) install(doc core.Document, compressed []byte) (bool, error) {
 	syn.mut.Lock()
 	defer syn.mut.Unlock()
+	before := syn.store.Hosts()
 	changed, err := syn.store.Apply(doc, compressed)
 	if !changed {
 		return false, err
 	}
-	if doc.Name() == core.DocumentHosts {
-		syn.overlay.SetHosts(syn.store.Hosts())
+	if hosts := syn.store.Hosts(); hosts != before {
+		syn.overlay.SetHosts(hosts)
 	}
 	syn.snapshot.Store(syn.store.Snapshot())
 	return true, nil
--- a/core/coordination/gossip/ignored_test.go
+++ b/core/coordination/gossip/ignored_test.go
@@ -114,3 +114,63 @@
 		}
 	})
 }
+
+// Guards against programs that are no upstreams and register beside them: they must take no part, must not keep an upstream
+// on the same host from being used, and must not stay among the hosts that nodes ask for newer versions.
+func TestHostsOfUndeclaredServices(t *testing.T) {
+	sto := gossip.NewStore()
+	sto.UseOnlyDeclared()
+	hosts := core.NewDocument(core.DocumentHosts, 1, []byte(`{"version":1,"hosts":[
+{"id":"10.0.0.1","domain":"domain-0","service":"backup-agent","peer":"10.0.0.1:7002","state":"leaving","instance":"agent-1"},
+{"id":"10.0.0.1","domain":"domain-0","service":"stampa","peer":"10.0.0.1:7002","state":"live","instance":"i-1"},
+{"id":"10.0.0.2","domain":"domain-0","service":"backup-agent","peer":"10.0.0.2:7002","state":"live","instance":"agent-2"}]}`))
+	declared := core.NewDocument(core.DocumentDeclarations, 1, []byte(`{"version":1,"classes":[],"services":[{"name":"stampa","routes":[]}],"teams":[],"keys":[],"domains":[]}`))
+	for _, doc := range []core.Document{hosts, declared} {
+		if changed, err := sto.Apply(doc, nil); err != nil || !changed {
+			t.Fatalf("%s are not in force: changed %t, %v", doc.Name(), changed, err)
+		}
+	}
+	var got []string
+	for _, hos := range sto.Snapshot().Hosts().All() {
+		got = append(got, hos.ID()+" "+hos.Instance())
+	}
+	for _, ign := range sto.Ignored() {
+		got = append(got, ign.Name()+": "+ign.Reason())
+	}
+	want := []string{
+		"10.0.0.1 i-1",
+		`hosts 10.0.0.1 backup-agent: names the undeclared service "backup-agent"`,
+		`hosts 10.0.0.2 backup-agent: names the undeclared service "backup-agent"`,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("hosts in use and ignored items (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against hosts that stay among the watchers and neighbours after declarations have shown that they are no upstreams.
+func TestUndeclaredHostsLeaveOverlay(t *testing.T) {
+	ove := gossip.NewOverlay("10.0.0.1", "domain-0")
+	var rows []string
+	for i := range 40 {
+		service := "backup-agent"
+		if i < 4 {
+			service = "stampa"
+		}
+		rows = append(rows, fmt.Sprintf(`{"id":"10.0.0.%d","domain":"domain-0","service":%q,"peer":"10.0.0.%d:7002","state":"live"}`, i+1, service, i+1))
+	}
+	hosts, err := decl.DecodeHosts([]byte(`{"version":1,"hosts":[` + strings.Join(rows, ",") + "]}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dec, err := decl.Decode([]byte(`{"version":1,"classes":[],"services":[{"name":"stampa","routes":[]}],"teams":[],"keys":[],"domains":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ove.SetHosts(hosts)
+	ove.SetHosts(hosts.OfDeclaredServices(dec))
+	for _, host := range append(ove.Neighbours(), ove.HigherRanked()...) {
+		if hos := hosts.Host(host); hos.Service() != "stampa" {
+			t.Errorf("%s of the service %s is asked for newer versions", host, hos.Service())
+		}
+	}
+}
--- a/core/coordination/gossip/overlay.go
+++ b/core/coordination/gossip/overlay.go
@@ -49,7 +49,7 @@
 	}
 	if 2*len(domains) < len(ove.domains) {
 		for id, dom := range ove.domains {
-			if hos.Host(id) == nil {
+			if !hos.Lists(id) {
 				domains[id] = dom
 			}
 		}
--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -133,7 +133,9 @@
 	held         map[string]*heldDocument // by document name
 	refused      []*DocumentError         // oldest first
 	declarations *decl.Declarations
-	hosts        *decl.Hosts
+	hosts        *decl.Hosts // as published
+	usedHosts    *decl.Hosts
+	onlyDeclared bool // hosts of services that are not declared are not used
 }
 
 // NewStore returns a store without documents.
@@ -141,6 +143,10 @@
 	return &Store{held: map[string]*heldDocument{}}
 }
 
+// UseOnlyDeclared keeps hosts of services that are not declared out of use. It must be called before the first document is
+// applied.
+func (sto *Store) UseOnlyDeclared() { sto.onlyDeclared = true }
+
 // Version returns the version of a document that is in force, and false if there is none.
 func (sto *Store) Version(name string) (Version, bool) {
 	hel, ok := sto.held[name]
@@ -202,18 +208,26 @@
 	if sto.declarations == nil || sto.hosts == nil {
 		return nil
 	}
-	return decl.NewSnapshot(sto.declarations, sto.hosts)
+	return decl.NewSnapshot(sto.declarations, sto.usedHosts)
 }
 
 // Hosts returns the host list in force, or nil if there is none.
-func (sto *Store) Hosts() *decl.Hosts { return sto.hosts }
+func (sto *Store) Hosts() *decl.Hosts { return sto.usedHosts }
+
+// selectHosts chooses the hosts to use from the documents in force.
+func (sto *Store) selectHosts() {
+	sto.usedHosts = sto.hosts
+	if sto.onlyDeclared && sto.hosts != nil && sto.declarations != nil {
+		sto.usedHosts = sto.hosts.OfDeclaredServices(sto.declarations)
+	}
+}
 
-// Ignored returns what the documents in force contain but is not in force because it is invalid.
+// Ignored returns what the documents in force contain but is not in force because it is invalid or not used.
 func (sto *Store) Ignored() []*decl.IgnoredItem {
-	if sto.hosts == nil {
+	if sto.usedHosts == nil {
 		return nil
 	}
-	return sto.hosts.Ignored()
+	return sto.usedHosts.Ignored()
 }
 
 // Apply puts a document in force if it is valid and newer than the one in force, and reports whether it did.
@@ -234,6 +248,7 @@
 		compressed = Compress(doc.Data())
 	}
 	install()
+	sto.selectHosts()
 	sto.held[ver.name] = &heldDocument{Version: ver, size: len(doc.Data()), compressed: compressed}
 	return true, nil
 }
--- a/core/state/decl/hosts.go
+++ b/core/state/decl/hosts.go
@@ -61,10 +61,15 @@
 	byID      map[string]*Host
 	byService map[string][]*Host
 	byDomain  map[string][]*Host
+	entries   []*Host         // all valid entries of the document, in its order; a host may have one for each service
+	listed    map[string]bool // IDs in entries
 	ignored   []*IgnoredItem
 }
 
-// Ignored returns the hosts in the document that are not in the list because they are invalid.
+// Lists reports whether the document has a valid entry for a host, also one that is not used.
+func (hos *Hosts) Lists(id string) bool { return hos.listed[id] }
+
+// Ignored returns the hosts in the document that are not in the list because they are invalid or not used.
 func (hos *Hosts) Ignored() []*IgnoredItem { return hos.ignored }
 
 // Version returns the published version.
@@ -152,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list := &Hosts{byID: map[string]*Host{}, byService: map[string][]*Host{}, byDomain: map[string][]*Host{}}
+	list := &Hosts{listed: map[string]bool{}}
 	if doc.checkFields(root, "version", "settling", "hosts") {
 		list.version = doc.versionField(root, "version")
 		list.settling = doc.boolField(root, "settling")
@@ -162,34 +167,71 @@
 		return nil, errors.Join(doc.errs...)
 	}
 	list.ignored = doc.ignored
-	slices.SortFunc(list.all, func(one, two *Host) int { return strings.Compare(one.id, two.id) })
-	for _, hos := range list.all {
-		list.byService[hos.service] = append(list.byService[hos.service], hos)
-		list.byDomain[hos.domain] = append(list.byDomain[hos.domain], hos)
-	}
+	list.index(list.entries)
 	return list, nil
 }
 
 func (hos *Hosts) readHosts(doc *documentReader, root *jsonNode) {
-	ids, addrs := map[string]bool{}, map[string]bool{}
+	names, addrs := map[string]bool{}, map[string]string{}
 	nodes := doc.listField(root, "hosts")
 	for _, nod := range nodes {
 		first := len(doc.errs)
 		item := readHost(doc, nod)
-		doc.checkUnique(ids, nod, item.id)
-		doc.checkUnique(addrs, nod, item.peerAddr)
+		name := item.id
+		if doc.tolerant {
+			name += " " + item.service
+		}
+		doc.checkUnique(names, nod, name)
+		if id, ok := addrs[item.peerAddr]; ok && (id != item.id || !doc.tolerant) {
+			doc.addErrorAt(nod, fmt.Sprintf("repeats %q", item.peerAddr), "remove or rename one")
+		}
 		if doc.ignoreInvalid(nod, first) {
 			continue
 		}
-		ids[item.id], addrs[item.peerAddr] = true, true
-		hos.byID[item.id] = item
-		hos.all = append(hos.all, item)
+		names[name], addrs[item.peerAddr], hos.listed[item.id] = true, item.id, true
+		hos.entries = append(hos.entries, item)
 	}
-	if len(nodes) > 0 && len(hos.all) == 0 {
+	if len(nodes) > 0 && len(hos.entries) == 0 {
 		doc.addErrorAt(root.fields["hosts"], "has no valid host", "correct the hosts: "+doc.ignored[0].Reason())
 	}
 }
 
+// index puts the first entry of each host in the list.
+func (hos *Hosts) index(entries []*Host) {
+	hos.all, hos.byID, hos.byService, hos.byDomain = nil, map[string]*Host{}, map[string][]*Host{}, map[string][]*Host{}
+	for _, item := range entries {
+		if hos.byID[item.id] == nil {
+			hos.byID[item.id] = item
+			hos.all = append(hos.all, item)
+		}
+	}
+	slices.SortFunc(hos.all, func(one, two *Host) int { return strings.Compare(one.id, two.id) })
+	for _, item := range hos.all {
+		hos.byService[item.service] = append(hos.byService[item.service], item)
+		hos.byDomain[item.domain] = append(hos.byDomain[item.domain], item)
+	}
+}
+
+// OfDeclaredServices returns the list without the entries of services that are not declared. Other programs may register
+// themselves where the upstreams do, also on hosts of upstreams.
+func (hos *Hosts) OfDeclaredServices(dec *Declarations) *Hosts {
+	declared := slices.DeleteFunc(slices.Clone(hos.entries), func(item *Host) bool { return dec.Service(item.service) == nil })
+	if len(declared) == len(hos.entries) {
+		return hos
+	}
+	used := *hos
+	used.index(declared)
+	used.ignored = slices.Clone(hos.ignored)
+	for _, item := range hos.entries {
+		if dec.Service(item.service) == nil {
+			used.ignored = append(used.ignored, &IgnoredItem{
+				list: "hosts", name: item.id + " " + item.service, cause: fmt.Errorf("names the undeclared service %q", item.service),
+			})
+		}
+	}
+	return &used
+}
+
 func readHost(doc *documentReader, nod *jsonNode) *Host {
 	if !doc.checkFields(nod, "id", "domain", "service", "peer", "state", "instance", "slots", "cold", "cold_at") {
 		return &Host{}
--- a/core/state/roster/roster.go
+++ b/core/state/roster/roster.go
@@ -214,17 +214,25 @@
 func (ros *Roster) Version() uint64 { return ros.version }
 
 // LatestPerHost returns, in ascending order of the hosts, the instance of each host that started last. An upstream that
-// starts again may register before its previous instance has expired.
+// starts again may register before its previous instance has expired. A host with instances of several services has one of
+// each on the list, the one that started last first: one may be of a program that is no upstream.
 func (ros *Roster) LatestPerHost() []Instance {
-	byHost := map[string]Instance{}
+	type place struct{ host, service string }
+	latest := map[place]Instance{}
 	for _, ins := range ros.instances {
-		if latest, ok := byHost[ins.Host]; !ok || startedLater(ins, latest) {
-			byHost[ins.Host] = ins
+		plc := place{host: ins.Host, service: ins.Service}
+		if other, ok := latest[plc]; !ok || startedLater(ins, other) {
+			latest[plc] = ins
 		}
 	}
-	return slices.SortedFunc(maps.Values(byHost), func(first, second Instance) int { return cmp.Compare(first.Host, second.Host) })
+	return slices.SortedFunc(maps.Values(latest), func(first, second Instance) int {
+		return cmp.Or(cmp.Compare(first.Host, second.Host), -compareStarts(first, second))
+	})
 }
 
-func startedLater(first, second Instance) bool {
-	return cmp.Or(cmp.Compare(first.StartedMillis, second.StartedMillis), cmp.Compare(first.ModVersion, second.ModVersion), cmp.Compare(first.ID, second.ID)) > 0
+func startedLater(first, second Instance) bool { return compareStarts(first, second) > 0 }
+
+// compareStarts returns above 0 if the first instance started later than the second, as far as their entries show.
+func compareStarts(first, second Instance) int {
+	return cmp.Or(cmp.Compare(first.StartedMillis, second.StartedMillis), cmp.Compare(first.ModVersion, second.ModVersion), cmp.Compare(first.ID, second.ID))
 }
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -89,7 +89,7 @@
 	})
 	nod.syncer = gossip.New(gossip.Settings{
 		Host: set.Host, Domain: set.Domain, Peers: nod.mesh, Source: ada.Source, Rand: newRand(),
-		OnChange: nod.onSnapshot, OnRefused: nod.onDocumentRefused, OnIgnored: nod.onItemIgnored, BootJitter: bootJitter, MaxBackoff: maxSourceBackoff,
+		OnChange: nod.onSnapshot, OnRefused: nod.onDocumentRefused, OnIgnored: nod.onItemIgnored, OnlyDeclared: true, BootJitter: bootJitter, MaxBackoff: maxSourceBackoff,
 	})
 	nod.proxy = proxy.New(proxy.Settings{
 		Host: set.Host, Domain: set.Domain, Service: set.Service, Peers: nod.mesh, Upstream: nod.upstream,
