Put declarations in force without their invalid items

Callers saw: old routes and keys, and evacuations that did not happen, after one row of the operator's configuration that the nodes do not take, such as a key that two tenants have, a whole number written as 2.0, a body limit of 4 GiB or a route to an unknown service. Nodes that started answered 503.

Cause: as for host lists, declarations were valid as a whole or not at all, and so was the decoding of the configuration.

Weighed: refusing such declarations as a whole, as before. It keeps a mistyped class from taking its routes away, but also a key from being revoked because of a fault elsewhere, and a fleet that starts from having any configuration.

--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -224,10 +224,14 @@
 
 // Ignored returns what the documents in force contain but is not in force because it is invalid or not used.
 func (sto *Store) Ignored() []*decl.IgnoredItem {
-	if sto.usedHosts == nil {
-		return nil
+	var out []*decl.IgnoredItem
+	if sto.declarations != nil {
+		out = append(out, sto.declarations.Ignored()...)
+	}
+	if sto.usedHosts != nil {
+		out = append(out, sto.usedHosts.Ignored()...)
 	}
-	return sto.usedHosts.Ignored()
+	return out
 }
 
 // Apply puts a document in force if it is valid and newer than the one in force, and reports whether it did.
@@ -265,7 +269,7 @@
 		}
 		return func() { sto.hosts = hos }, checkEmbeddedVersion(doc, hos.Version())
 	}
-	dec, err := decl.Decode(doc.Data())
+	dec, err := decl.DecodeTolerant(doc.Data())
 	if err != nil {
 		return nil, err
 	}
--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -196,8 +196,12 @@
 	ingressRoutes   []*IngressRoute
 	ingressByHost   map[string][]*IngressRoute
 	limits          Limits
+	ignored         []*IgnoredItem
 }
 
+// Ignored returns the items of the document that are not declared because they are invalid.
+func (dec *Declarations) Ignored() []*IgnoredItem { return dec.ignored }
+
 // Version returns the published version.
 func (dec *Declarations) Version() uint64 { return dec.version }
 
@@ -268,8 +272,14 @@
 func (dec *Declarations) DomainNames() []string { return dec.domainNames }
 
 // Decode decodes and validates declarations; the error joins one ValidationError for each error in the document.
-func Decode(data []byte) (*Declarations, error) {
-	doc, root, err := parse(data, false)
+func Decode(data []byte) (*Declarations, error) { return decode(data, false) }
+
+// DecodeTolerant decodes declarations without their invalid items, and without those that refer to one. A node takes such
+// a document: without it, the changes of the other items would not come into force, and a node that starts would have none.
+func DecodeTolerant(data []byte) (*Declarations, error) { return decode(data, true) }
+
+func decode(data []byte, tolerant bool) (*Declarations, error) {
+	doc, root, err := parse(data, tolerant)
 	if err != nil {
 		return nil, err
 	}
@@ -294,30 +304,29 @@
 	if len(doc.errs) > 0 {
 		return nil, errors.Join(doc.errs...)
 	}
+	dec.ignored = doc.ignored
 	return dec, nil
 }
 
 func (dec *Declarations) readClasses(doc *documentReader, root *jsonNode) {
 	seen := map[string]bool{}
-	for _, nod := range doc.listField(root, "classes") {
-		if !doc.checkFields(nod, "name", "target", "priority") {
-			continue
-		}
-		cla := &Class{name: doc.stringField(nod, "name")}
+	nodes := doc.listField(root, "classes")
+	havePriorities := slices.ContainsFunc(nodes, func(nod *jsonNode) bool { return nod.fields["priority"] != nil })
+	lackPriorities := slices.ContainsFunc(nodes, func(nod *jsonNode) bool { return nod.fields["priority"] == nil })
+	if havePriorities && lackPriorities && !doc.tolerant {
+		doc.addError(root.line, "classes", "gives a priority to some classes only", "give one to all classes or to none")
+	}
+	for _, nod := range nodes {
+		first := len(doc.errs)
+		cla := readClass(doc, nod)
 		doc.checkUnique(seen, nod, cla.name)
-		seen[cla.name] = true
-		target := doc.requiredField(nod, "target")
-		if target != nil && doc.checkFields(target, "answered", "within") {
-			cla.targetRatio = doc.positiveField(target, "answered")
-			if cla.targetRatio >= 1 {
-				doc.addErrorAt(target.fields["answered"], "is not below 1", "give a fraction of requests between 0 and 1, such as 0.999")
-			}
-			cla.targetLatency = doc.durationField(target, "within")
+		if havePriorities && cla.priority == nil && doc.tolerant {
+			doc.addErrorAt(nod, "has no priority although other classes have one", "give one to all classes or to none")
 		}
-		if child := nod.fields["priority"]; child != nil {
-			priority := doc.countField(nod, "priority")
-			cla.priority = &priority
+		if doc.ignoreInvalid(nod, first) {
+			continue
 		}
+		seen[cla.name] = true
 		dec.classes = append(dec.classes, cla)
 	}
 	slices.SortFunc(dec.classes, compareTargets)
@@ -326,11 +335,27 @@
 		if cla.priority != nil {
 			cla.rank = *cla.priority
 		}
-		if (cla.priority == nil) != (dec.classes[0].priority == nil) {
-			doc.addError(root.line, "classes", "gives a priority to some classes only", "give one to all classes or to none")
-			break
+	}
+}
+
+func readClass(doc *documentReader, nod *jsonNode) *Class {
+	if !doc.checkFields(nod, "name", "target", "priority") {
+		return &Class{}
+	}
+	cla := &Class{name: doc.stringField(nod, "name")}
+	target := doc.requiredField(nod, "target")
+	if target != nil && doc.checkFields(target, "answered", "within") {
+		cla.targetRatio = doc.positiveField(target, "answered")
+		if cla.targetRatio >= 1 {
+			doc.addErrorAt(target.fields["answered"], "is not below 1", "give a fraction of requests between 0 and 1, such as 0.999")
 		}
+		cla.targetLatency = doc.durationField(target, "within")
+	}
+	if nod.fields["priority"] != nil {
+		priority := doc.countField(nod, "priority")
+		cla.priority = &priority
 	}
+	return cla
 }
 
 // compareTargets puts the lower priority number first. Without priorities, or between equal ones, it puts the stricter
@@ -355,29 +380,42 @@
 func (dec *Declarations) readServices(doc *documentReader, root *jsonNode) {
 	seen := map[string]bool{}
 	for _, nod := range doc.listField(root, "services") {
-		if !doc.checkFields(nod, "name", "routes", "upstream") {
+		first := len(doc.errs)
+		ser := dec.readService(doc, nod)
+		doc.checkUnique(seen, nod, ser.name)
+		if doc.ignoreInvalid(nod, first) {
 			continue
 		}
-		ser := &Service{name: doc.stringField(nod, "name")}
-		doc.checkUnique(seen, nod, ser.name)
 		seen[ser.name] = true
-		if strings.Contains(ser.name, "/") {
-			doc.addErrorAt(nod.fields["name"], "contains a slash", "use a name that fits in one path segment")
-		}
-		routes := map[string]bool{}
-		for _, item := range doc.listField(nod, "routes") {
-			if rou := dec.readRoute(doc, item); rou != nil {
-				doc.checkUnique(routes, item, rou.method+" "+normalizePattern(rou.segments))
-				routes[rou.method+" "+normalizePattern(rou.segments)] = true
-				ser.routes = append(ser.routes, rou)
-			}
-		}
-		slices.SortStableFunc(ser.routes, compareRoutes)
-		ser.readUpstream(doc, nod)
 		dec.services[ser.name] = ser
 	}
 }
 
+func (dec *Declarations) readService(doc *documentReader, nod *jsonNode) *Service {
+	if !doc.checkFields(nod, "name", "routes", "upstream") {
+		return &Service{}
+	}
+	ser := &Service{name: doc.stringField(nod, "name")}
+	if strings.Contains(ser.name, "/") {
+		doc.addErrorAt(nod.fields["name"], "contains a slash", "use a name that fits in one path segment")
+	}
+	routes := map[string]bool{}
+	for _, item := range doc.listField(nod, "routes") {
+		first := len(doc.errs)
+		rou := dec.readRoute(doc, item)
+		name := rou.method + " " + normalizePattern(rou.segments)
+		doc.checkUnique(routes, item, name)
+		if doc.ignoreInvalid(item, first) {
+			continue
+		}
+		routes[name] = true
+		ser.routes = append(ser.routes, rou)
+	}
+	slices.SortStableFunc(ser.routes, compareRoutes)
+	ser.readUpstream(doc, nod)
+	return ser
+}
+
 // normalizePattern drops the names of wildcards, so that two patterns that match the same paths compare equal.
 func normalizePattern(segments []string) string {
 	out := slices.Clone(segments)
@@ -414,7 +452,7 @@
 
 func (dec *Declarations) readRoute(doc *documentReader, nod *jsonNode) *Route {
 	if !doc.checkFields(nod, "method", "path", "class", "idempotent", "open") {
-		return nil
+		return &Route{}
 	}
 	rou := &Route{
 		method: doc.enumField(nod, "method", http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
@@ -443,75 +481,104 @@
 func (dec *Declarations) readTeams(doc *documentReader, root *jsonNode) {
 	seen := map[string]bool{}
 	for _, nod := range doc.listField(root, "teams") {
-		if !doc.checkFields(nod, "name", "rate", "burst", "unlimited", "priority") {
+		first := len(doc.errs)
+		tea := readTeam(doc, nod)
+		doc.checkUnique(seen, nod, tea.name)
+		if doc.ignoreInvalid(nod, first) {
 			continue
 		}
-		tea := &Team{name: doc.stringField(nod, "name"), unlimited: doc.boolField(nod, "unlimited")}
-		if !tea.unlimited {
-			tea.rate, tea.burst = doc.positiveField(nod, "rate"), doc.positiveField(nod, "burst")
-		}
-		if nod.fields["priority"] != nil {
-			tea.priority = doc.countField(nod, "priority")
-		}
-		doc.checkUnique(seen, nod, tea.name)
 		seen[tea.name] = true
-		if child := nod.fields["burst"]; child != nil && tea.burst < 1 {
-			doc.addErrorAt(child, "is below 1", "allow a burst of at least 1 request")
-		}
 		dec.teams[tea.name] = tea
 	}
 }
 
+func readTeam(doc *documentReader, nod *jsonNode) *Team {
+	if !doc.checkFields(nod, "name", "rate", "burst", "unlimited", "priority") {
+		return &Team{}
+	}
+	tea := &Team{name: doc.stringField(nod, "name"), unlimited: doc.boolField(nod, "unlimited")}
+	if !tea.unlimited {
+		tea.rate, tea.burst = doc.positiveField(nod, "rate"), doc.positiveField(nod, "burst")
+	}
+	if nod.fields["priority"] != nil {
+		tea.priority = doc.countField(nod, "priority")
+	}
+	if child := nod.fields["burst"]; child != nil && tea.burst < 1 {
+		doc.addErrorAt(child, "is below 1", "allow a burst of at least 1 request")
+	}
+	return tea
+}
+
 func (dec *Declarations) readKeys(doc *documentReader, root *jsonNode) {
 	seen := map[string]bool{}
 	for _, nod := range doc.listField(root, "keys") {
-		if !doc.checkFields(nod, "id", "team", "sha256") {
-			continue
-		}
-		key := &Key{id: doc.stringField(nod, "id")}
+		first := len(doc.errs)
+		key := dec.readKey(doc, nod)
 		doc.checkUnique(seen, nod, key.id)
-		seen[key.id] = true
-		name := doc.stringField(nod, "team")
-		key.team = dec.teams[name]
-		if name != "" && key.team == nil {
-			doc.addErrorAt(nod.fields["team"], fmt.Sprintf("names the undeclared team %q", name), "declare it or use a declared team")
-		}
-		digest := doc.stringField(nod, "sha256")
-		raw, err := hex.DecodeString(digest)
-		if digest != "" && (err != nil || len(raw) != sha256.Size) {
-			doc.addErrorAt(nod.fields["sha256"], "is not a SHA-256 digest", "give 64 hexadecimal digits")
+		if doc.ignoreInvalid(nod, first) {
 			continue
 		}
+		seen[key.id] = true
+		dec.keysByDigest[key.digest] = key
+		dec.keysByID[key.id] = key
+	}
+}
+
+func (dec *Declarations) readKey(doc *documentReader, nod *jsonNode) *Key {
+	if !doc.checkFields(nod, "id", "team", "sha256") {
+		return &Key{}
+	}
+	key := &Key{id: doc.stringField(nod, "id")}
+	name := doc.stringField(nod, "team")
+	key.team = dec.teams[name]
+	if name != "" && key.team == nil {
+		doc.addErrorAt(nod.fields["team"], fmt.Sprintf("names the undeclared team %q", name), "declare it or use a declared team")
+	}
+	digest := doc.stringField(nod, "sha256")
+	raw, err := hex.DecodeString(digest)
+	switch {
+	case digest == "":
+	case err != nil || len(raw) != sha256.Size:
+		doc.addErrorAt(nod.fields["sha256"], "is not a SHA-256 digest", "give 64 hexadecimal digits")
+	default:
 		copy(key.digest[:], raw)
 		if dec.keysByDigest[key.digest] != nil {
 			doc.addErrorAt(nod.fields["sha256"], "repeats the digest of another key", "issue a new key")
 		}
-		dec.keysByDigest[key.digest] = key
-		dec.keysByID[key.id] = key
 	}
+	return key
 }
 
 func (dec *Declarations) readDomains(doc *documentReader, root *jsonNode) {
 	seen := map[string]bool{}
 	for _, nod := range doc.listField(root, "domains") {
-		if !doc.checkFields(nod, "name", "region", "state", "rate_groups") {
+		first := len(doc.errs)
+		dom := readDomain(doc, nod)
+		doc.checkUnique(seen, nod, dom.name)
+		if doc.ignoreInvalid(nod, first) {
 			continue
 		}
-		dom := &Domain{
-			name: doc.stringField(nod, "name"), region: doc.stringField(nod, "region"),
-			outOfService: doc.enumField(nod, "state", "in", "out") == "out", rateGroups: 1,
-		}
-		doc.checkUnique(seen, nod, dom.name)
 		seen[dom.name] = true
-		if child := nod.fields["rate_groups"]; child != nil {
-			val := doc.numberField(nod, "rate_groups")
-			dom.rateGroups = int(val)
-			if val < 1 || val > maxRateGroups || val != float64(int(val)) {
-				doc.addErrorAt(child, "is not a valid number of rate groups", fmt.Sprintf("give a whole number from 1 to %d", maxRateGroups))
-			}
-		}
 		dec.domains[dom.name] = dom
 		dec.domainNames = append(dec.domainNames, dom.name)
 	}
 	slices.Sort(dec.domainNames)
 }
+
+func readDomain(doc *documentReader, nod *jsonNode) *Domain {
+	if !doc.checkFields(nod, "name", "region", "state", "rate_groups") {
+		return &Domain{}
+	}
+	dom := &Domain{
+		name: doc.stringField(nod, "name"), region: doc.stringField(nod, "region"),
+		outOfService: doc.enumField(nod, "state", "in", "out") == "out", rateGroups: 1,
+	}
+	if child := nod.fields["rate_groups"]; child != nil {
+		val := doc.numberField(nod, "rate_groups")
+		dom.rateGroups = int(val)
+		if val < 1 || val > maxRateGroups || val != float64(int(val)) {
+			doc.addErrorAt(child, "is not a valid number of rate groups", fmt.Sprintf("give a whole number from 1 to %d", maxRateGroups))
+		}
+	}
+	return dom
+}
--- a/core/state/decl/decl_test.go
+++ b/core/state/decl/decl_test.go
@@ -149,6 +149,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = decl.Decode(data)
 		_, _ = decl.DecodeHosts(data)
+		_, _ = decl.DecodeTolerant(data)
 		_, _ = decl.DecodeHostsTolerant(data)
 	})
 }
--- a/core/state/decl/ingress.go
+++ b/core/state/decl/ingress.go
@@ -102,14 +102,14 @@
 	dec.ingressByHost = map[string][]*IngressRoute{}
 	names, hostPrefixes := map[string]bool{}, map[string]bool{}
 	for _, nod := range doc.optionalList(root, "entries") {
-		if !doc.checkFields(nod, "name", "host", "prefix", "class", "idempotent", "open", "attempts", "timeout", "services") {
-			continue
-		}
+		first := len(doc.errs)
 		ing := dec.readIngressRoute(doc, nod)
 		doc.checkUnique(names, nod, ing.name)
-		names[ing.name] = true
 		doc.checkUnique(hostPrefixes, nod, ing.host+ing.prefix)
-		hostPrefixes[ing.host+ing.prefix] = true
+		if doc.ignoreInvalid(nod, first) {
+			continue
+		}
+		names[ing.name], hostPrefixes[ing.host+ing.prefix] = true, true
 		dec.ingressRoutes = append(dec.ingressRoutes, ing)
 		dec.ingressByHost[ing.host] = append(dec.ingressByHost[ing.host], ing)
 	}
@@ -120,6 +120,9 @@
 }
 
 func (dec *Declarations) readIngressRoute(doc *documentReader, nod *jsonNode) *IngressRoute {
+	if !doc.checkFields(nod, "name", "host", "prefix", "class", "idempotent", "open", "attempts", "timeout", "services") {
+		return &IngressRoute{}
+	}
 	ing := &IngressRoute{
 		name: doc.stringField(nod, "name"), host: strings.ToLower(doc.stringField(nod, "host")), prefix: doc.stringField(nod, "prefix"),
 		idempotent: doc.boolField(nod, "idempotent"), public: doc.boolField(nod, "open"), maxAttempts: doc.countField(nod, "attempts"),
@@ -155,12 +158,18 @@
 
 func (dec *Declarations) readLimits(doc *documentReader, root *jsonNode) {
 	nod := root.fields["limits"]
-	if nod == nil || !doc.checkFields(nod, "header_bytes", "body_bytes", "header_time", "idle_time") {
+	first := len(doc.errs)
+	if nod == nil {
 		return
 	}
-	dec.limits = Limits{
-		headerBytes: doc.countField(nod, "header_bytes"), bodyBytes: doc.countField(nod, "body_bytes"),
-		headerTimeout: doc.durationField(nod, "header_time"), idleTimeout: doc.durationField(nod, "idle_time"),
+	if doc.checkFields(nod, "header_bytes", "body_bytes", "header_time", "idle_time") {
+		dec.limits = Limits{
+			headerBytes: doc.countField(nod, "header_bytes"), bodyBytes: doc.countField(nod, "body_bytes"),
+			headerTimeout: doc.durationField(nod, "header_time"), idleTimeout: doc.durationField(nod, "idle_time"),
+		}
+	}
+	if doc.ignoreInvalid(nod, first) {
+		dec.limits = Limits{}
 	}
 }
 
@@ -171,7 +180,9 @@
 		return
 	}
 	ser.maxConnections = doc.countField(nod, "connections")
-	ser.healthPath = doc.stringField(nod, "health")
+	if nod.fields["health"] != nil {
+		ser.healthPath = doc.stringField(nod, "health")
+	}
 	if cold := nod.fields["cold"]; cold != nil && doc.checkFields(cold, "rate", "lasts") {
 		ser.coldRate = doc.positiveField(cold, "rate")
 		ser.coldDuration = doc.durationField(cold, "lasts")
