Take configurations of the largest size that the store takes

Callers saw: routes and keys of the version before, after the operator had written a configuration near 1 MiB; nodes that started had none.

Change: documents and the frames that carry them may have 16 MiB.

Ruled out: a shorter form of keys in the declarations, which nodes of the release before would refuse.

--- a/core/state/decl/decl.go
+++ b/core/state/decl/decl.go
@@ -187,6 +187,7 @@
 	operatorVersion uint64
 	settling        bool
 	classes         []*Class
+	classesByName   map[string]*Class
 	services        map[string]*Service
 	teams           map[string]*Team
 	keysByDigest    map[[sha256.Size]byte]*Key
@@ -234,14 +235,7 @@
 func (dec *Declarations) Classes() []*Class { return dec.classes }
 
 // Class returns a class by name, or nil if it is not declared.
-func (dec *Declarations) Class(name string) *Class {
-	for _, cla := range dec.classes {
-		if cla.name == name {
-			return cla
-		}
-	}
-	return nil
-}
+func (dec *Declarations) Class(name string) *Class { return dec.classesByName[name] }
 
 // Service returns a service by name, or nil if it is not declared.
 func (dec *Declarations) Service(name string) *Service { return dec.services[name] }
@@ -284,7 +278,7 @@
 		return nil, err
 	}
 	dec := &Declarations{
-		services: map[string]*Service{}, teams: map[string]*Team{}, domains: map[string]*Domain{},
+		classesByName: map[string]*Class{}, services: map[string]*Service{}, teams: map[string]*Team{}, domains: map[string]*Domain{},
 		keysByDigest: map[[sha256.Size]byte]*Key{}, keysByID: map[string]*Key{},
 	}
 	if doc.checkFields(root, "version", "operator_version", "settling", "classes", "services", "teams", "keys", "domains", "entries", "limits") {
@@ -328,6 +322,7 @@
 		}
 		seen[cla.name] = true
 		dec.classes = append(dec.classes, cla)
+		dec.classesByName[cla.name] = cla
 	}
 	slices.SortFunc(dec.classes, compareTargets)
 	for i, cla := range dec.classes {
--- a/core/state/decl/parse.go
+++ b/core/state/decl/parse.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	maxDocumentBytes = 1 << 20 // the platform stores values of at most 1 MB
-	maxNesting       = 16      // levels below the root value
+	// MaxDocumentBytes is the longest document in bytes. The platform stores values of at most 1 MiB, and the document that
+	// one of them is translated to is several times as long.
+	MaxDocumentBytes = 16 << 20
+	maxNesting       = 16 // levels below the root value
 )
 
 // ValidationError reports an error in a document with its line, its field and a remedy.
@@ -89,10 +91,10 @@
 // parse returns the root node of a document and the reader for its fields.
 func parse(data []byte, tolerant bool) (*documentReader, *jsonNode, error) {
 	doc := &documentReader{data: data, decoder: json.NewDecoder(bytes.NewReader(data)), tolerant: tolerant, line: 1}
-	if len(data) > maxDocumentBytes {
+	if len(data) > MaxDocumentBytes {
 		return nil, nil, &ValidationError{
 			line: 1, field: "document", detail: fmt.Sprintf("has %d bytes", len(data)),
-			remedy: fmt.Sprintf("publish at most %d bytes", maxDocumentBytes),
+			remedy: fmt.Sprintf("publish at most %d bytes", MaxDocumentBytes),
 		}
 	}
 	doc.decoder.UseNumber()
--- a/io/protocol/wire/frame.go
+++ b/io/protocol/wire/frame.go
@@ -17,7 +17,7 @@
 const (
 	MaxControlFrame  = 64 << 10
 	MaxBodyFrame     = 32 << 10
-	MaxDocumentFrame = 2 << 20
+	MaxDocumentFrame = 16 << 20 // the longest document, compressed
 	MaxLaneFrame     = 128 << 10
 
 	// MaxLaneBody is the longest body in one lane frame; the longest head of a call or an answer fits beside it.
