Keep 1 MiB as the limit of documents that operators publish

Change: strict decoding takes 1 MiB, as before; tolerant decoding, which only nodes use, takes 16 MiB.

--- a/core/state/decl/parse.go
+++ b/core/state/decl/parse.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// MaxDocumentBytes is the longest document in bytes. The platform stores values of at most 1 MiB, and the document that
-	// one of them is translated to is several times as long.
+	maxPublishedBytes = 1 << 20 // the platform stores values of at most 1 MiB
+	// MaxDocumentBytes is the longest document in bytes that a node holds. The document that a value of the platform is
+	// translated to is several times as long as the value.
 	MaxDocumentBytes = 16 << 20
 	maxNesting       = 16 // levels below the root value
 )
@@ -91,10 +92,14 @@
 // parse returns the root node of a document and the reader for its fields.
 func parse(data []byte, tolerant bool) (*documentReader, *jsonNode, error) {
 	doc := &documentReader{data: data, decoder: json.NewDecoder(bytes.NewReader(data)), tolerant: tolerant, line: 1}
-	if len(data) > MaxDocumentBytes {
+	maxBytes := maxPublishedBytes
+	if tolerant {
+		maxBytes = MaxDocumentBytes
+	}
+	if len(data) > maxBytes {
 		return nil, nil, &ValidationError{
 			line: 1, field: "document", detail: fmt.Sprintf("has %d bytes", len(data)),
-			remedy: fmt.Sprintf("publish at most %d bytes", MaxDocumentBytes),
+			remedy: fmt.Sprintf("publish at most %d bytes", maxBytes),
 		}
 	}
 	doc.decoder.UseNumber()
