Limit the length of texts about ignored entries

Cause: reasons and names of ignored entries, and paths of unknown fields, may hold text of the entry, and an entry may have 1 MiB: one line of the log could be as long.

TestReasonOfIgnoredItemIsShort failed for a long name of an unknown field.

--- a/core/coordination/gossip/gossip.go
+++ b/core/coordination/gossip/gossip.go
@@ -451,7 +451,7 @@
 	syn.reportedIgnored = reported
 }
 
-// Ignored returns what the documents in force contain but is not in force because it is invalid.
+// Ignored returns what the documents in force contain but is not in force because it is invalid or not used.
 func (syn *Syncer) Ignored() []*decl.IgnoredItem {
 	syn.mut.Lock()
 	defer syn.mut.Unlock()
--- a/core/coordination/gossip/store.go
+++ b/core/coordination/gossip/store.go
@@ -131,8 +131,8 @@
 	refused      []*DocumentError         // oldest first
 	declarations *decl.Declarations
 	hosts        *decl.Hosts // as published
-	usedHosts    *decl.Hosts
-	onlyDeclared bool // hosts of services that are not declared are not used
+	usedHosts    *decl.Hosts // those of hosts that take part
+	onlyDeclared bool        // hosts of services that are not declared are not used
 }
 
 // NewStore returns a store without documents.
--- a/core/state/decl/ignored.go
+++ b/core/state/decl/ignored.go
@@ -18,7 +18,7 @@
 // Name returns the list that contains the item and the item's name or, if it has none, its path in the document.
 func (ign *IgnoredItem) Name() string {
 	if ign.name == "" {
-		return ign.path
+		return truncate(ign.path, maxIgnoredName)
 	}
 	return ign.list + " " + truncate(ign.name, maxIgnoredName)
 }
--- a/core/state/decl/tolerant_test.go
+++ b/core/state/decl/tolerant_test.go
@@ -72,16 +72,38 @@
 	}
 }
 
-// The reason of an ignored item must not fill the log, however long the values in it are.
+// The name and the reason of an ignored item must not fill the log, however long the values in it are.
 func TestReasonOfIgnoredItemIsShort(t *testing.T) {
 	long := strings.Repeat("é", 1<<17)
-	hos, err := decl.DecodeHostsTolerant([]byte(`{"version": 2, "hosts": [
-{"id": "h1", "domain": "nord-a", "service": "stampa", "peer": "127.0.0.1:1", "state": "live"},
-{"id": "` + long + `", "domain": "nord-a", "service": "stampa", "peer": "` + long + `", "state": "live"}]}`))
-	if err != nil {
-		t.Fatal(err)
+	for name, host := range map[string]string{
+		"values":        `"id": "` + long + `", "domain": "nord-a", "service": "stampa", "peer": "` + long + `", "state": "live"`,
+		"unknown field": `"id": "h2", "domain": "nord-a", "service": "stampa", "peer": "127.0.0.1:2", "state": "live", "` + long + `": 1`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			hos, err := decl.DecodeHostsTolerant([]byte(`{"version": 2, "hosts": [
+{"id": "h1", "domain": "nord-a", "service": "stampa", "peer": "127.0.0.1:1", "state": "live"}, {` + host + "}]}"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ign := hos.Ignored()[0]; len(ign.Name()) > 500 || len(ign.Reason()) > 500 {
+				t.Errorf("name of %d bytes, reason of %d bytes, want at most 500", len(ign.Name()), len(ign.Reason()))
+			}
+		})
 	}
-	if ign := hos.Ignored()[0]; len(ign.Name()) > 500 || len(ign.Reason()) > 500 {
-		t.Errorf("name of %d bytes, reason of %d bytes, want at most 500", len(ign.Name()), len(ign.Reason()))
+}
+
+// Operators must be told of a document that is longer than what the platform stores, and nodes must take longer ones, which
+// a value of the platform was translated to.
+func TestLengthOfDocument(t *testing.T) {
+	for length, want := range map[int][2]bool{
+		1 << 20: {true, true}, 1<<20 + 1: {false, true}, decl.MaxDocumentBytes: {false, true}, decl.MaxDocumentBytes + 1: {false, false},
+	} {
+		data := testDocument(nil)
+		data = append(data, strings.Repeat(" ", length-len(data))...)
+		_, strict := decl.Decode(data)
+		_, tolerant := decl.DecodeTolerant(data)
+		if diff := cmp.Diff(want, [2]bool{strict == nil, tolerant == nil}); diff != "" {
+			t.Errorf("document of %d bytes valid for Decode and DecodeTolerant (-want +got):\n%s", length, diff)
+		}
 	}
 }
