Add review case 7: an isolated machine keeps an old configuration

Case: a machine is cut off from all other machines for 12 s and still reaches the store. It runs requests with a key that was taken away, on a dropped route and in an evacuated zone until the cut ends.

--- a/review/kit-2/rig/rig.go
+++ b/review/kit-2/rig/rig.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -192,6 +193,9 @@
 	return map[string]any{}, http.StatusNotFound
 }
 
+// firstHost is the last byte of the first machine's address. All have three digits, so that none begins another one.
+const firstHost = 101
+
 // HostSpec describes a machine: its zone, the service of its backend and the slots of that.
 type HostSpec struct {
 	Zone, Service string
@@ -204,6 +208,7 @@
 	IP       string
 	Instance string
 	fleet    *Fleet
+	peerAt   string // where the node listens for peers
 	settings string
 	cmd      *exec.Cmd
 	ended    chan struct{}
@@ -227,6 +232,7 @@
 	beatMut  sync.Mutex
 	storeSrv *http.Server
 	log      *os.File
+	links    *links // nil without proxies
 }
 
 // Settings configures a fleet.
@@ -236,7 +242,8 @@
 	Config  map[string]any
 	Handler func(hos *Host) http.Handler // serves the requests of a backend that are for its instance and no health checks
 	Memory  int
-	Timeout time.Duration
+	// Proxies puts a proxy of the rig before the port for peers of each node, so that machines can be cut off from each other.
+	Proxies bool
 }
 
 // Start starts the store, the backends and the nodes, and waits until all nodes are ready.
@@ -249,9 +256,16 @@
 	fle.log, _ = os.Create(filepath.Join(dir, "nodes.log"))
 	ips := []string{}
 	for i := range set.Hosts {
-		ips = append(ips, fmt.Sprintf("%s.%d", set.Prefix, i+1))
+		ips = append(ips, fmt.Sprintf("%s.%d", set.Prefix, firstHost+i))
+	}
+	inner := []string{}
+	for i := range set.Hosts {
+		inner = append(inner, fmt.Sprintf("%s.%d", set.Prefix, i+1))
+	}
+	fle.choosePorts(append(slices.Clone(ips), inner...))
+	if set.Proxies {
+		fle.links = newLinks(ips)
 	}
-	fle.choosePorts(ips)
 	lis, err := net.Listen("tcp", set.Prefix+".250:0")
 	if err != nil {
 		Fail("%v", err)
@@ -269,6 +283,11 @@
 	}
 	for i, spec := range set.Hosts {
 		hos := &Host{HostSpec: spec, IP: ips[i], Instance: fmt.Sprintf("i-%08x", rand.Uint32()), fleet: fle, born: time.Now().UnixMilli()}
+		hos.peerAt = hos.addrOf(hos.IP, 1)
+		if fle.links != nil {
+			hos.peerAt = hos.addrOf(inner[i], 1)
+			fle.links.listen(hos.addrOf(hos.IP, 1), hos.peerAt, hos.IP)
+		}
 		fle.Hosts = append(fle.Hosts, hos)
 		hos.startBackend(set.Handler(hos))
 		hos.writeSettings(set.Memory)
@@ -327,7 +346,11 @@
 	Fail("no free ports")
 }
 
-func (hos *Host) addr(port int) string { return fmt.Sprintf("%s:%d", hos.IP, hos.fleet.ports[port]) }
+func (hos *Host) addrOf(ip string, port int) string {
+	return fmt.Sprintf("%s:%d", ip, hos.fleet.ports[port])
+}
+
+func (hos *Host) addr(port int) string { return hos.addrOf(hos.IP, port) }
 
 // Ingress returns the address for the clients of the machine.
 func (hos *Host) Ingress() string { return hos.addr(0) }
@@ -363,7 +386,7 @@
 	fle := hos.fleet
 	data, _ := json.MarshalIndent(map[string]any{
 		"host": hos.IP, "domain": hos.Zone, "domains": fle.zones, "service": hos.Service, "upstream": "http://" + hos.Backend(),
-		"ingress": hos.addr(0), "peer": hos.addr(1), "ready": hos.addr(2), "admin": hos.addr(3), "store": fle.storeAt,
+		"ingress": hos.addr(0), "peer": hos.peerAt, "ready": hos.addr(2), "admin": hos.addr(3), "store": fle.storeAt,
 		"insecure_peers": true, "grace": "6s", "memory_mb": memory, "max_files": 4100, "retry_share": 0.2,
 	}, "", "  ")
 	hos.settings = filepath.Join(fle.dir, hos.IP+".json")
@@ -476,6 +499,9 @@
 	if fle.storeSrv != nil {
 		fle.storeSrv.Close()
 	}
+	if fle.links != nil {
+		fle.links.close()
+	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		data, _ := os.ReadFile(filepath.Join(fle.dir, "nodes.log"))
 		_ = os.WriteFile(keep, data, 0o600)
@@ -484,6 +510,17 @@
 	os.RemoveAll(fle.dir)
 }
 
+// Isolate cuts a machine off from all other machines of the system, silently, or ends that. It still reaches the store.
+func (hos *Host) Isolate(cut bool) { hos.fleet.links.isolate(hos.IP, cut) }
+
+// Drain makes the backend report that it is leaving, and returns once the store has accepted that.
+func (hos *Host) Drain() {
+	hos.fleet.beatMut.Lock()
+	defer hos.fleet.beatMut.Unlock()
+	hos.draining = true
+	hos.write()
+}
+
 // ID returns a new identifier of a client attempt.
 func ID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
