--- a/review/kit-2/rig/rig.go
+++ b/review/kit-2/rig/rig.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -208,6 +209,12 @@
 	IP       string
 	Instance string
 	fleet    *Fleet
+	store    *http.Server
+	refused  atomic.Bool  // the store turns this machine away
+	lastCall atomic.Int64 // to the store, in Unix nanoseconds
+	storeMut sync.Mutex
+	storeCtx context.Context
+	cutStore context.CancelFunc
 	peerAt   string // where the node listens for peers
 	settings string
 	cmd      *exec.Cmd
@@ -225,12 +232,10 @@
 	Store    *Store
 	Hosts    []*Host
 	dir      string
-	ports    [5]int // ingress, peer, ready, admin, backend
-	storeAt  string
+	ports    [6]int // ingress, peer, ready, admin, backend, store
 	zones    []string
 	stopBeat context.CancelFunc
 	beatMut  sync.Mutex
-	storeSrv *http.Server
 	log      *os.File
 	links    *links // nil without proxies
 }
@@ -266,13 +271,6 @@
 	if set.Proxies {
 		fle.links = newLinks(ips)
 	}
-	lis, err := net.Listen("tcp", set.Prefix+".250:0")
-	if err != nil {
-		Fail("%v", err)
-	}
-	fle.storeAt = lis.Addr().String()
-	fle.storeSrv = &http.Server{Handler: fle.Store}
-	go fle.storeSrv.Serve(lis)
 	fle.Store.Write("op/config", set.Config)
 	seen := map[string]bool{}
 	for _, spec := range set.Hosts {
@@ -290,6 +288,7 @@
 		}
 		fle.Hosts = append(fle.Hosts, hos)
 		hos.startBackend(set.Handler(hos))
+		hos.startStore()
 		hos.writeSettings(set.Memory)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -378,6 +377,56 @@
 	go hos.server.Serve(lis)
 }
 
+// startStore opens the store at an address of its own for each machine, so that it can tell the machines apart.
+func (hos *Host) startStore() {
+	lis, err := net.Listen("tcp", hos.addr(5))
+	if err != nil {
+		Fail("%v", err)
+	}
+	hos.store = &http.Server{Handler: http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		hos.lastCall.Store(time.Now().UnixNano())
+		if hos.refused.Load() {
+			wri.Header().Set("Store-Era", "1")
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ctx, cancel := context.WithCancel(req.Context())
+		defer cancel()
+		defer context.AfterFunc(hos.turnedAway(), cancel)()
+		hos.fleet.Store.ServeHTTP(wri, req.WithContext(ctx))
+		if hos.refused.Load() && ctx.Err() != nil {
+			panic(http.ErrAbortHandler) // a waiting watch is cut
+		}
+	})}
+	go hos.store.Serve(lis)
+}
+
+// turnedAway returns a context that ends when the store next turns the machine away.
+func (hos *Host) turnedAway() context.Context {
+	hos.storeMut.Lock()
+	defer hos.storeMut.Unlock()
+	if hos.storeCtx == nil {
+		hos.storeCtx, hos.cutStore = context.WithCancel(context.Background())
+	}
+	return hos.storeCtx
+}
+
+// TurnAway makes the store answer all further calls of the machine with 503, or ends that. Waiting watches are cut.
+func (hos *Host) TurnAway(refused bool) {
+	hos.refused.Store(refused)
+	hos.storeMut.Lock()
+	defer hos.storeMut.Unlock()
+	if refused && hos.storeCtx != nil {
+		hos.cutStore()
+		hos.storeCtx = nil
+	}
+}
+
+// ReadsStore reports whether the machine has called the store within the last seconds.
+func (hos *Host) ReadsStore() bool {
+	return time.Since(time.Unix(0, hos.lastCall.Load())) < 3*time.Second
+}
+
 // writeSettings renders the settings like deploy/node.json.tmpl.
 func (hos *Host) writeSettings(memory int) {
 	if memory == 0 {
@@ -386,7 +435,7 @@
 	fle := hos.fleet
 	data, _ := json.MarshalIndent(map[string]any{
 		"host": hos.IP, "domain": hos.Zone, "domains": fle.zones, "service": hos.Service, "upstream": "http://" + hos.Backend(),
-		"ingress": hos.addr(0), "peer": hos.peerAt, "ready": hos.addr(2), "admin": hos.addr(3), "store": fle.storeAt,
+		"ingress": hos.addr(0), "peer": hos.peerAt, "ready": hos.addr(2), "admin": hos.addr(3), "store": hos.addr(5),
 		"insecure_peers": true, "grace": "6s", "memory_mb": memory, "max_files": 4100, "retry_share": 0.2,
 	}, "", "  ")
 	hos.settings = filepath.Join(fle.dir, hos.IP+".json")
@@ -492,13 +541,12 @@
 			hos.Signal(syscall.SIGCONT)
 			hos.Kill()
 		}
-		if hos.server != nil {
-			hos.server.Close()
+		for _, srv := range []*http.Server{hos.server, hos.store} {
+			if srv != nil {
+				srv.Close()
+			}
 		}
 	}
-	if fle.storeSrv != nil {
-		fle.storeSrv.Close()
-	}
 	if fle.links != nil {
 		fle.links.close()
 	}
