Report an answer as truncated when its reset reached the upload instead

An upstream answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being sent. Callers got the part as a complete answer.

Cause: Linux reports the error of a connection once. The goroutine that sends the request body got ECONNRESET, and the reader of the answer then read an ordinary end, which completes an answer without a length.

At the end of such an answer the reader now looks at the error of the sender's writes, after it has ended a write in progress. Any error but EPIPE means that the connection broke before its end. EPIPE stands for a reset after the upstream's end of the connection: such answers stay whole, and so do early answers whose upload goes on.

An end without a look at the reset and an error lost on the way to the caller were ruled out: the same answer failed as truncated once the upload had ended, and the client of the upstream itself reported the end.

--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"amaranthline/core"
@@ -178,6 +181,7 @@
 	stopInterrupt   func() bool   // stops the function that aborts the exchange when ctx ends
 	wrote           bool          // bytes of the request may have reached the operating system
 	body            *requestBody  // nil when there is none, or when it was sent with the head
+	bodyWriter      *bodyWriter   // nil when body is
 	bodyEnded       chan struct{} // closed when sending a long body has ended; nil when there is none
 }
 
@@ -261,26 +265,58 @@
 	}
 	if att.body != nil {
 		att.bodyEnded = make(chan struct{})
-		go sendBody(att.con, att.body, att.bodyEnded)
+		att.bodyWriter = &bodyWriter{conn: att.con.Conn}
+		go sendBody(att.bodyWriter, att.body, att.bodyEnded)
 	}
 	return nil
 }
 
-func sendBody(con *conn, body *requestBody, done chan<- struct{}) {
+func sendBody(bow *bodyWriter, body *requestBody, done chan<- struct{}) {
 	defer close(done)
 	var err error
 	if body.length < 0 {
-		if _, err = io.Copy(chunkedWriter{con.Conn}, body); err == nil {
-			_, err = io.WriteString(con.Conn, "0\r\n\r\n")
+		if _, err = io.Copy(chunkedWriter{bow}, body); err == nil {
+			_, err = io.WriteString(bow, "0\r\n\r\n")
 		}
 	} else {
-		_, err = io.CopyN(con.Conn, body, body.length)
+		_, err = io.CopyN(bow, body, body.length)
 	}
 	if err != nil && body.readError() != nil {
-		_ = con.SetDeadline(expiredDeadline) // the answer to an incomplete request is useless
+		_ = bow.conn.SetDeadline(expiredDeadline) // the answer to an incomplete request is useless
 	}
 }
 
+// bodyWriter writes the body of a request to a connection and keeps the error of a write.
+type bodyWriter struct {
+	conn net.Conn
+	mut  sync.Mutex // held during a write
+	err  error
+}
+
+// Write writes a part of the body.
+func (bow *bodyWriter) Write(data []byte) (int, error) {
+	bow.mut.Lock()
+	defer bow.mut.Unlock()
+	got, err := bow.conn.Write(data)
+	if err != nil {
+		bow.err = err
+	}
+	return got, err
+}
+
+// connError returns the error that broke the connection if a write has received it, or nil. Linux reports such an error once:
+// after the write, a read returns io.EOF, as if the peer had ended the connection in order. EPIPE does not count, because it
+// stands for a reset that came after the peer's end of the connection. Nothing more can be written after the call.
+func (bow *bodyWriter) connError() error {
+	_ = bow.conn.SetWriteDeadline(expiredDeadline) // ends a write that waits for the peer
+	bow.mut.Lock()
+	defer bow.mut.Unlock()
+	if errors.Is(bow.err, syscall.EPIPE) || errors.Is(bow.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return bow.err
+}
+
 // readAnswer returns the answer to the call. It skips answers to other calls, which an upstream may send late or twice;
 // the dialect recognizes them by the call identifier that the upstream echoes.
 func (att *attempt) readAnswer() (*core.Answer, error) {
@@ -419,6 +455,11 @@
 		err = newError(ResultFailed, core.ReasonTruncated, core.OutcomeUnknown, "the answer is longer than 64 MiB", nil)
 		got = 0
 	}
+	if errors.Is(err, io.EOF) && endsWithConnection(abo.rsp) && abo.att.bodyWriter != nil {
+		if connErr := abo.att.bodyWriter.connError(); connErr != nil {
+			err = connErr
+		}
+	}
 	switch {
 	case err == nil:
 		return got, nil
--- a/io/transport/back/conn.go
+++ b/io/transport/back/conn.go
@@ -294,6 +294,11 @@
 	return !rsp.Close && (rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0)
 }
 
+// endsWithConnection reports whether the body of an answer lasts until the upstream ends the connection.
+func endsWithConnection(rsp *http.Response) bool {
+	return rsp.Body != http.NoBody && rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0
+}
+
 // requestHead returns the head of a request; length is that of the body in bytes, -1 for a chunked body.
 func requestHead(method, target, host string, hdr http.Header, length int64) []byte {
 	buf := make([]byte, 0, 512)
