Refuse answers of upstreams with invalid names of fields

An upstream in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer, with that line passed on, or with a body that ended elsewhere than the upstream's: "Content-Length : 3" was a field of its own that no code looked up, and a line that began with a blank was appended to the value before it.

Cause: the parser of net/http refuses control bytes in names but accepts blanks. The connection to the upstream now checks the names as the bytes of a head arrive, also in interim answers and in answers that are skipped. A head that fails ends the attempt as upstream_failed with an unknown outcome, and its connection is closed. RFC 9112, section 5, forbids senders both forms; it lets a proxy repair them, but a node that repairs a field which tells the length may disagree with the upstream about the end of the body.

--- a/io/transport/back/conn.go
+++ b/io/transport/back/conn.go
@@ -68,11 +68,12 @@
 	idleSince     time.Time
 	idleLimit     time.Duration // longest idle time after which the connection is reused
 	reused        bool
-	headBytesLeft int // bytes of an answer's head that may still be read, or -1 while a body is read
+	headBytesLeft int         // bytes of an answer's head that may still be read, or -1 while a body is read
+	head          status.Head // checks the head that is being read
 	probeBuf      [1]byte
 }
 
-// Read limits the head of an answer to maxHeaderBytes.
+// Read limits the head of an answer to maxHeaderBytes and checks the names of its fields.
 func (con *conn) Read(data []byte) (int, error) {
 	if con.headBytesLeft < 0 {
 		return con.Conn.Read(data)
@@ -82,6 +83,9 @@
 	}
 	got, err := con.Conn.Read(data[:min(len(data), con.headBytesLeft)])
 	con.headBytesLeft -= got
+	if checkErr := con.head.Check(data[:got]); checkErr != nil {
+		return 0, checkErr
+	}
 	return got, err
 }
 
@@ -233,12 +237,15 @@
 }
 
 // readResponse reads the next answer and skips interim (1xx) ones, whose heads count towards maxHeaderBytes and whose number
-// is bounded: an upstream may send them without end. Anything else than an answer with a valid status is an error, after
-// which the connection must not be read any more.
+// is bounded: an upstream may send them without end. Anything else than an answer with a valid status and valid names of
+// fields is an error, after which the connection must not be read any more.
 func (con *conn) readResponse(req *http.Request) (*http.Response, error) {
 	con.headBytesLeft = maxHeaderBytes
 	defer func() { con.headBytesLeft = -1 }()
 	for interim := 0; ; interim++ {
+		if err := con.beginHead(); err != nil {
+			return nil, err
+		}
 		if err := con.checkStatusLine(); err != nil {
 			return nil, err
 		}
@@ -256,6 +263,13 @@
 	}
 }
 
+// beginHead begins to check the next head with the bytes of it that were read together with what precedes it.
+func (con *conn) beginHead() error {
+	con.head = status.Head{}
+	start, _ := con.reader.Peek(con.reader.Buffered()) // cannot fail, because these bytes are buffered
+	return con.head.Check(start)
+}
+
 // checkStatusLine judges the start of the next answer as its bytes arrive: http.ReadResponse reads whole lines, and accepts
 // statuses and versions that are none.
 func (con *conn) checkStatusLine() error {
