Refuse answers of the stores with invalid names of fields

The clients of the platform's store and of the configuration service took answers with a blank in the name of a field: a length in such a field was ignored, and a "Version : 8" or "Store-Era : 9" beside the real one as well.

Cause: as for upstreams, the parser of net/http accepts blanks in names. The checked connection of both clients, which judged status lines, now checks the names of the fields too.

The tests of status lines are the same cases in a function that both tests call.

--- a/io/protocol/status/status_test.go
+++ b/io/protocol/status/status_test.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// Guards against a connection that changes what is read, that misses a status line after interim answers or in parts, or that
-// judges a body.
+// Guards against a connection that changes what is read, that misses a status line or a field after interim answers or in parts,
+// or that judges a body.
 func TestConn(t *testing.T) {
 	interim := "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 	tests := []struct {
@@ -54,6 +54,9 @@
 		{"000", "HTTP/1.1 000 None\r\n\r\n", true},
 		{"000 after an interim answer", interim + "HTTP/1.1 000 None\r\n\r\n", true},
 		{"most interim answers", strings.Repeat(interim, status.MaxInterim) + "HTTP/1.1 200 OK\r\n\r\n", false},
+		{"invalid name of a field", "HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n", true},
+		{"invalid name in an interim answer", "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", true},
+		{"invalid name after an interim answer", interim + "HTTP/1.1 200 OK\r\nA B: 1\r\n\r\n", true},
 		{"too many interim answers", strings.Repeat(interim, status.MaxInterim+1) + "HTTP/1.1 200 OK\r\n\r\n", true},
 	}
 	for _, tst := range tests {
@@ -83,8 +86,9 @@
 					_, err := io.ReadFull(con, got)
 					var lie *status.LineError
 					var many *status.TooManyInterimError
+					var fne *status.FieldNameError
 					if tst.fails {
-						if !errors.As(err, &lie) && !errors.As(err, &many) {
+						if !errors.As(err, &lie) && !errors.As(err, &many) && !errors.As(err, &fne) {
 							t.Errorf("reading returned %v, want an error of this package", err)
 						}
 						return
--- a/io/transport/config/config_test.go
+++ b/io/transport/config/config_test.go
@@ -126,27 +126,39 @@
 		"HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 None", "HTTP/1.1 +20 OK",
 		"HTTP/1.1  200 OK", "HTTP/1.1 20 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/2.0 200 OK", "HTTP/2.0 304 Not Modified", "ICY 200 OK",
 	} {
-		t.Run(line, func(t *testing.T) {
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = lis.Close() }()
-			go func() {
-				for {
-					conn, err := lis.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = http.ReadRequest(bufio.NewReader(conn))
-					_, _ = io.WriteString(conn, line+"\r\nVersion: 7\r\nContent-Length: 2\r\n\r\n{}")
-					_ = conn.Close()
+		testBrokenAnswer(t, line)
+	}
+}
+
+// Guards against an answer with a field without a valid name that is taken for a document.
+func TestAnswerWithInvalidFieldName(t *testing.T) {
+	for _, line := range []string{"X Broken: 1", "X-Any: 1\r\n X-Broken: 1", "X-Bro\x01ken: 1", "Content-Length : 3", "Version : 8"} {
+		testBrokenAnswer(t, "HTTP/1.1 200 OK\r\n"+line)
+	}
+}
+
+// testBrokenAnswer checks that an answer whose head begins with the given lines is not used.
+func testBrokenAnswer(t *testing.T, line string) {
+	t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = lis.Close() }()
+		go func() {
+			for {
+				conn, err := lis.Accept()
+				if err != nil {
+					return
 				}
-			}()
-			doc, err := newClient(t, "http://"+lis.Addr().String()).WaitChange(t.Context(), "hosts", 3, time.Second)
-			if err == nil || errors.Is(err, core.ErrUnchanged) {
-				t.Errorf("the read ended with %s, want a failure", describe(doc, err))
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, line+"\r\nVersion: 7\r\nContent-Length: 2\r\n\r\n{}")
+				_ = conn.Close()
 			}
-		})
-	}
+		}()
+		doc, err := newClient(t, "http://"+lis.Addr().String()).WaitChange(t.Context(), "hosts", 3, time.Second)
+		if err == nil || errors.Is(err, core.ErrUnchanged) {
+			t.Errorf("the read ended with %s, want a failure", describe(doc, err))
+		}
+	})
 }
