Refuse answers of peers with invalid names of fields

A peer of an older version passes on a field with a blank in its name, and a body that may end elsewhere than its upstream's. The calling node handed both to the caller.

Cause: the head of an answer between nodes was checked for its status only. It is now checked for the names of its fields in the same place. The call fails as peer_failed with an unknown outcome; the other calls on the connection go on.

--- a/io/transport/mesh/call.go
+++ b/io/transport/mesh/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"golang.org/x/net/http/httpguts"
 	"google.golang.org/protobuf/proto"
 
 	"amaranthline/core"
@@ -282,19 +283,30 @@
 	if err := wire.ToRefusal(head); err != nil {
 		return nil, replaceCancelled(exc.ctx, err)
 	}
-	if !core.ValidStatus(int(head.GetStatus())) {
-		return nil, exc.session.invalidStatus(head)
+	if err := exc.session.checkHead(head); err != nil {
+		return nil, err
 	}
 	bod := &streamAnswerBody{exchange: exc}
 	return core.NewAnswer(int(head.GetStatus()), wire.ToHeader(head.GetHeaders()), bod, bod.feedback), nil
 }
 
-// invalidStatus returns the failure of a call whose answer has no status of HTTP. Only this call ends, and nothing more is
-// read for it: the answer has a stream or number of its own, and a peer of an older version passes on what its upstream sent,
-// which must not cost the other calls their connection.
-func (ses *outboundSession) invalidStatus(head *wire.AnswerHead) error {
+// checkHead returns the failure of a call whose answer has no status of HTTP or a field without a valid name, or nil. Only
+// this call ends, and nothing more is read for it: the answer has a stream or number of its own, and a peer of an older version
+// passes on what its upstream sent, which must not cost the other calls their connection.
+func (ses *outboundSession) checkHead(head *wire.AnswerHead) error {
+	detail := ""
+	if !core.ValidStatus(int(head.GetStatus())) {
+		detail = fmt.Sprintf("host %q sent an answer with the status %d", ses.peer.host, head.GetStatus())
+	}
+	for _, field := range head.GetHeaders() {
+		if !httpguts.ValidHeaderFieldName(field.GetName()) {
+			detail = fmt.Sprintf("host %q sent an answer with a field named %.64q", ses.peer.host, field.GetName())
+		}
+	}
+	if detail == "" {
+		return nil
+	}
 	ses.peer.mesh.settings.OnEvent(EventProtocolViolation)
-	detail := fmt.Sprintf("host %q sent an answer with the status %d", ses.peer.host, head.GetStatus())
 	return core.NewRefusal(core.ReasonPeerFailed, core.OutcomeUnknown, detail)
 }
 
--- a/io/transport/mesh/lane.go
+++ b/io/transport/mesh/lane.go
@@ -359,8 +359,8 @@
 	if err := wire.ToRefusal(par.head); err != nil {
 		return nil, replaceCancelled(lac.ctx, err)
 	}
-	if !core.ValidStatus(int(par.head.GetStatus())) {
-		return nil, lac.session.Load().invalidStatus(par.head)
+	if err := lac.session.Load().checkHead(par.head); err != nil {
+		return nil, err
 	}
 	bod := &laneAnswerBody{call: lac, unread: par.data}
 	bod.applyPart(par)
--- a/io/transport/mesh/status_test.go
+++ b/io/transport/mesh/status_test.go
@@ -20,13 +20,13 @@
 // invalidStatuses are no statuses of an answer that ends a call.
 var invalidStatuses = []int32{-200, -1, 0, 1, 99, 100, 101, 103, 199, 600, 999, 1000, 1 << 30}
 
-// standInPeer is a peer that answers calls with a given status, on lanes and on streams of their own.
+// standInPeer is a peer that answers calls with a given head, on lanes and on streams of their own.
 type standInPeer struct {
-	status int32
+	head *wire.AnswerHead
 }
 
 // startStandInPeer starts one and returns its address.
-func startStandInPeer(t *testing.T, status int32) string {
+func startStandInPeer(t *testing.T, head *wire.AnswerHead) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -39,7 +39,7 @@
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
-			go standInPeer{status}.serve(conn)
+			go standInPeer{head}.serve(conn)
 		}
 	}()
 	return lis.Addr().String()
@@ -61,7 +61,7 @@
 
 func (sip standInPeer) serveStream(str *yamux.Stream) {
 	rea, wri := wire.NewReader(str), wire.NewWriter(str)
-	head := &wire.AnswerHead{Status: sip.status, Outcome: uint32(core.OutcomeRan)}
+	head := sip.head
 	end := wire.FromAnswerEnd(core.Feedback{})
 	for {
 		msg, err := rea.Read()
@@ -104,7 +104,7 @@
 func TestAnswerOfPeerWithoutStatus(t *testing.T) {
 	for _, status := range append([]int32{200, 599}, invalidStatuses...) {
 		caller := startNode(t, "h1", echo, nil)
-		setPeer(caller, "h2", startStandInPeer(t, status))
+		setPeer(caller, "h2", startStandInPeer(t, &wire.AnswerHead{Status: status, Outcome: uint32(core.OutcomeRan)}))
 		for kind, call := range callsOfBothKinds() {
 			t.Run(fmt.Sprint(kind, " ", status), func(t *testing.T) {
 				res := forwardAndRead(t.Context(), caller, "h2", call)
@@ -123,6 +123,35 @@
 	}
 }
 
+// Guards against a peer of an older version that passes on a field without a valid name from its upstream: the body of such an
+// answer may end elsewhere than the upstream's.
+func TestAnswerOfPeerWithInvalidFieldName(t *testing.T) {
+	tests := map[string]bool{
+		"X-Sound": true, "!#$%&'*+-.^_`|~09": true, "": false, " ": false, "X Broken": false, "Content-Length ": false, " Transfer-Encoding": false,
+		"X-Broken\t": false, "X-Bro\x00ken": false, "X-Broken\r\nContent-Length": false, "X-Broken:": false, "X-Br\u00f6ken": false,
+	}
+	for name, valid := range tests {
+		caller := startNode(t, "h1", echo, nil)
+		fields := []*wire.Header{{Name: name, Values: []string{"1"}}, {Name: "X-Last", Values: []string{"1"}}}
+		setPeer(caller, "h2", startStandInPeer(t, &wire.AnswerHead{Status: http.StatusOK, Outcome: uint32(core.OutcomeRan), Headers: fields}))
+		for kind, call := range callsOfBothKinds() {
+			t.Run(fmt.Sprintf("%s %q", kind, name), func(t *testing.T) {
+				res := forwardAndRead(t.Context(), caller, "h2", call)
+				if valid {
+					if diff := cmp.Diff([]any{http.StatusOK, "forged", nil}, []any{res.status, res.body, res.err}); diff != "" {
+						t.Errorf("answer (-want +got):\n%s", diff)
+					}
+					return
+				}
+				if res.err == nil {
+					t.Fatalf("the caller got %d with %q", res.status, res.body)
+				}
+				wantRefusal(t, res.err, core.ReasonPeerFailed, core.OutcomeUnknown)
+			})
+		}
+	}
+}
+
 // Guards against a node that sends an answer without a status of HTTP to a peer, which may be of an older version and take it.
 func TestInvalidStatusIsNotSentToPeer(t *testing.T) {
 	for _, status := range invalidStatuses {
