Reset callers of HTTP/1.0 when an answer breaks off

A caller that sends HTTP/1.0 got a truncated answer without a length as a complete one.

Cause: a broken answer ends with its connection, which the node closed in order. Over HTTP/1.1 the missing last chunk shows that the answer is incomplete; over HTTP/1.0 there are no chunks, and an ordinary end completes the answer. Such a connection is now reset.

Evidence, on: TestTruncatedAnswerLooksIncomplete failed in 2 of 12 cases ("the answer with 305152 of 307200 bytes looks complete"), both over HTTP/1.0 and longer than the buffer of net/http. All pass now.

--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -411,6 +411,9 @@
 	fro.dialect.SetAnswerHeaders(hdr, attemptID)
 	wri.WriteHeader(ans.Status())
 	if _, err := io.Copy(wri, ans.Body()); err != nil {
+		if con := inlet.FromContext(hrq.Context()); con != nil && !hrq.ProtoAtLeast(1, 1) {
+			con.ResetOnClose() // an answer over HTTP/1.0 has no chunks, so an ordinary end of the connection may complete it
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/transport/inlet/conn.go
+++ b/io/transport/inlet/conn.go
@@ -51,6 +51,7 @@
 	deadline time.Time
 	headBy   time.Time // when the head that has begun must be complete; zero if none has
 	closed   bool
+	reset    bool // ResetOnClose was called
 	wait     wait // for a request, under Settings.Bounds
 	further  bool // the caller has sent a request before the one before it was answered
 	row      row
@@ -379,12 +380,22 @@
 	_ = con.applyDeadline() // fails only on a closed connection, whose next read fails too
 }
 
+// ResetOnClose makes Close reset the connection, and drop what the caller has not received, instead of ending it in order.
+func (con *Conn) ResetOnClose() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.reset = true
+	if lin, ok := con.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lin.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // Close closes the connection. One with further requests that were not answered is read on for a while after its end was
 // sent, so that the answers before them reach the caller.
 func (con *Conn) Close() error {
 	con.mut.Lock()
 	idle := con.phase == phaseHead && len(con.held) == 0
-	first, further := !con.closed, con.refused || con.further && !idle && con.readErr == nil
+	first, further := !con.closed, !con.reset && (con.refused || con.further && !idle && con.readErr == nil)
 	con.closed = true
 	con.discardBegun()
 	con.wake.Broadcast()
