--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -455,10 +455,8 @@
 		err = newError(ResultFailed, core.ReasonTruncated, core.OutcomeUnknown, "the answer is longer than 64 MiB", nil)
 		got = 0
 	}
-	if errors.Is(err, io.EOF) && endsWithConnection(abo.rsp) && abo.att.bodyWriter != nil {
-		if connErr := abo.att.bodyWriter.connError(); connErr != nil {
-			err = connErr
-		}
+	if errors.Is(err, io.EOF) {
+		err = abo.checkEnd()
 	}
 	switch {
 	case err == nil:
@@ -475,6 +473,16 @@
 	return got, abo.err
 }
 
+// checkEnd returns io.EOF, or the error that broke the connection if nothing else marks the end of the answer.
+func (abo *answerBody) checkEnd() error {
+	if bow := abo.att.bodyWriter; bow != nil && endsWithConnection(abo.rsp) {
+		if err := bow.connError(); err != nil {
+			return err
+		}
+	}
+	return io.EOF
+}
+
 // Close closes the connection when the answer has not been read to its end.
 func (abo *answerBody) Close() error {
 	if abo.err == nil {
--- a/io/transport/mesh/status_test.go
+++ b/io/transport/mesh/status_test.go
@@ -61,7 +61,6 @@
 
 func (sip standInPeer) serveStream(str *yamux.Stream) {
 	rea, wri := wire.NewReader(str), wire.NewWriter(str)
-	head := sip.head
 	end := wire.FromAnswerEnd(core.Feedback{})
 	for {
 		msg, err := rea.Read()
@@ -75,9 +74,9 @@
 		case *wire.Probe:
 			replies = []proto.Message{&wire.ProbeAck{SentNanos: frm.GetSentNanos()}}
 		case *wire.LaneCall:
-			replies = []proto.Message{&wire.LaneAnswer{Number: frm.GetNumber(), Head: head, Body: []byte("forged"), End: end}}
+			replies = []proto.Message{&wire.LaneAnswer{Number: frm.GetNumber(), Head: sip.head, Body: []byte("forged"), End: end}}
 		case *wire.CallEnd:
-			replies = []proto.Message{head, &wire.Body{Data: []byte("forged")}, end}
+			replies = []proto.Message{sip.head, &wire.Body{Data: []byte("forged")}, end}
 		}
 		for _, rep := range replies {
 			if wri.Write(rep) != nil {
