Log how many calls an upstream got in the second before it was found cold

The log showed when a node believed its upstream to be cold, but not what the upstream had got until then, so a node that had just started, one that learned late and one that counts calls too early looked alike. The notes on the upstream now give the calls of the last second (sent_last_s). Nothing is decided by it.

--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -233,6 +233,13 @@
 	que.scheduleDispatch()
 }
 
+// sentLastSecond returns how many calls were given a slot within the last second.
+func (que *upstreamQueue) sentLastSecond() int {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	return que.scheduler.SentLastSecond(que.clock.Now())
+}
+
 func (que *upstreamQueue) expectedLatency() (expected, marginal time.Duration) {
 	que.mut.Lock()
 	defer que.mut.Unlock()
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -92,7 +92,9 @@
 	oup.queue.setCold(now.Add(remaining), oup.coldRate)
 	oup.checkWanted = true
 	oup.requestCheck()
-	oup.settings.EventLog.Note("upstream cold", "", map[string]any{"instance": oup.instance, "for_ms": remaining.Milliseconds(), "version": oup.coldVersion})
+	oup.settings.EventLog.Note("upstream cold", "", map[string]any{
+		"instance": oup.instance, "for_ms": remaining.Milliseconds(), "version": oup.coldVersion, "sent_last_s": oup.queue.sentLastSecond(),
+	})
 }
 
 // requestCheck wakes runHealthChecks.
@@ -108,7 +110,7 @@
 	if !oup.checkPending {
 		oup.checkPending, oup.pendingSince = true, now
 		oup.requestCheck()
-		oup.settings.EventLog.Note("upstream asked for its health", "", map[string]any{"why": reason})
+		oup.settings.EventLog.Note("upstream asked for its health", "", map[string]any{"why": reason, "sent_last_s": oup.queue.sentLastSecond()})
 	}
 }
 
@@ -195,6 +197,7 @@
 	oup.checkPending, oup.checkWanted, oup.down = false, false, false
 	oup.settings.EventLog.Note("upstream answers", "", map[string]any{
 		"instance": hea.Instance(), "serving": hea.Serving(), "cold_ms": remaining.Milliseconds(),
+		"sent_last_s": oup.queue.sentLastSecond(),
 	})
 }
 
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -200,6 +200,40 @@
 	}
 }
 
+// sendCounter counts the calls that were sent within the last second, to within a tenth of it.
+type sendCounter struct {
+	counts [sendIntervals]int // ring buffer; each count covers one sendInterval
+	newest int64              // number of the newest interval, counted from the Unix epoch
+}
+
+const (
+	sendIntervals = 10
+	sendInterval  = time.Second / sendIntervals
+)
+
+// advance makes the interval of the current time the newest one and clears the counts that it reuses.
+func (snc *sendCounter) advance(now time.Time) {
+	newest := now.UnixNano() / int64(sendInterval)
+	for number := max(snc.newest+1, newest-sendIntervals+1); number <= newest; number++ {
+		snc.counts[number%sendIntervals] = 0
+	}
+	snc.newest = max(snc.newest, newest)
+}
+
+func (snc *sendCounter) record(now time.Time) {
+	snc.advance(now)
+	snc.counts[snc.newest%sendIntervals]++
+}
+
+func (snc *sendCounter) total(now time.Time) int {
+	snc.advance(now)
+	sum := 0
+	for _, count := range snc.counts {
+		sum += count
+	}
+	return sum
+}
+
 // coldLimiter bounds the requests to a cold upstream in any one second, and among them the nested calls while root
 // requests arrive.
 type coldLimiter struct {
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -134,6 +134,7 @@
 	serviceTime time.Duration // moving average of the time that a call holds its slot
 	classes     map[string]*classLimiter
 	cold        coldLimiter
+	sent        sendCounter
 	byRank      [rankCount]int // calls queued or holding a slot
 
 	gradual    bool                      // whether classes start with a low limit
@@ -200,6 +201,9 @@
 	return max(sch.cold.until.Sub(now), 0)
 }
 
+// SentLastSecond returns how many calls were given a slot within the last second.
+func (sch *Scheduler) SentLastSecond(now time.Time) int { return sch.sent.total(now) }
+
 // InFlight returns how many slots are taken.
 func (sch *Scheduler) InFlight() int { return sch.inFlight }
 
@@ -302,6 +306,7 @@
 	}
 	sch.inFlight++
 	sch.cold.record(now, tas.spec.IsRoot)
+	sch.sent.record(now)
 	tas.holdsSlot, tas.slotAt = true, now
 }
 
