Count the requests of the process before a restart against the cold rate

A node kept the times at which it had sent to a cold upstream in memory. A process that was restarted within that second knew nothing of them and used the whole rate again.

What was sent before the start of a process is not known, so that the whole rate counts as used up until then: a cold upstream gets nothing for the first second of the process. An upstream that is warm is served as before.

TestRestartBesideColdUpstream failed before: 30 calls reached the cold upstream in the second, want at most 15.

--- /dev/null
+++ b/core/coordination/proxy/cold_test.go
@@ -0,0 +1,151 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthline/core"
+	"amaranthline/core/coordination/proxy"
+	"amaranthline/core/state/decl"
+)
+
+const (
+	coldRate     = 10 // requests per second that the service declares for cold upstreams
+	coldRateMax  = coldRate * 3 / 2
+	coldDuration = 3 * time.Second
+)
+
+// coldUpstream is an upstream that is cold at times. It counts the calls that arrive while it is.
+type coldUpstream struct {
+	mut       sync.Mutex
+	coldUntil time.Time
+	arrivals  []time.Time // while it was cold
+	served    int         // while it was warm
+}
+
+func (cup *coldUpstream) becomeCold(lasts time.Duration) {
+	cup.mut.Lock()
+	defer cup.mut.Unlock()
+	cup.coldUntil = time.Now().Add(lasts)
+}
+
+func (cup *coldUpstream) serve(context.Context, *core.Call) (*core.Answer, error) {
+	cup.mut.Lock()
+	defer cup.mut.Unlock()
+	if now := time.Now(); now.Before(cup.coldUntil) {
+		cup.arrivals = append(cup.arrivals, now)
+	} else {
+		cup.served++
+	}
+	return okAnswer()
+}
+
+func (cup *coldUpstream) health() (core.Health, error) {
+	cup.mut.Lock()
+	defer cup.mut.Unlock()
+	return core.NewHealth("i-"+localHost, true, max(time.Until(cup.coldUntil), 0)), nil
+}
+
+// checkArrivals checks that the upstream got calls while it was cold, but in no second more than it tolerates.
+func (cup *coldUpstream) checkArrivals(t *testing.T) {
+	t.Helper()
+	cup.mut.Lock()
+	defer cup.mut.Unlock()
+	if len(cup.arrivals) == 0 {
+		t.Error("no call reached the cold upstream")
+	}
+	most, start := 0, time.Time{}
+	for i, first := range cup.arrivals {
+		count := 0
+		for _, at := range cup.arrivals[i:] {
+			if at.Sub(first) < time.Second {
+				count++
+			}
+		}
+		if count > most {
+			most, start = count, first
+		}
+	}
+	if most > coldRateMax {
+		t.Errorf("%d calls reached the cold upstream in the second from %v on, want at most %d", most, start, coldRateMax)
+	}
+}
+
+// coldSnapshot declares coldRate and coldDuration for the service of localHost. If listedFor is more than 0, the host list
+// shows the upstream as cold.
+func coldSnapshot(t *testing.T, version int, domainOut bool, listedFor time.Duration) *decl.Snapshot {
+	t.Helper()
+	return snapshotWith(t, version, false, domainOut, listedFor, jsonObject{"services": []jsonObject{
+		{"name": "orders", "routes": []jsonObject{}, "upstream": jsonObject{
+			"connections": 100, "health": "/health", "cold": jsonObject{"rate": coldRate, "lasts": coldDuration.String()},
+		}},
+		{"name": "stock", "routes": []jsonObject{}},
+		{"name": "deep", "routes": []jsonObject{}},
+	}})
+}
+
+// runProxy runs a new proxy until stop is called.
+func runProxy(t *testing.T, env *fakeEnv) (prx *proxy.Proxy, stop func()) {
+	t.Helper()
+	prx = newProxy(t, env)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := prx.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	return prx, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// sendCalls serves calls of peers at a rate per second for a time and returns how many were answered.
+func sendCalls(t *testing.T, prx *proxy.Proxy, perSecond int, lasts time.Duration) int {
+	t.Helper()
+	var mut sync.Mutex
+	var grp sync.WaitGroup
+	answered := 0
+	interval := time.Second / time.Duration(perSecond)
+	for num := range int(lasts / interval) {
+		grp.Go(func() {
+			time.Sleep(time.Duration(num) * interval)
+			root := core.NewRoot(core.RootSpec{Team: "verona", Class: "confirm", Deadline: time.Now().Add(5 * time.Second)})
+			ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
+				Root: root, Service: "orders", Path: "/confirm/1", AttemptID: fmt.Sprint(num), TargetLatency: time.Second,
+			}))
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadAll(ans.Body())
+			_ = ans.Body().Close()
+			mut.Lock()
+			defer mut.Unlock()
+			answered++
+		})
+	}
+	grp.Wait()
+	return answered
+}
+
+// Guards against a node that restarts beside a cold upstream and uses the whole cold rate again within the second in which
+// the process before it has used it.
+func TestRestartBesideColdUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cup := &coldUpstream{}
+		cup.becomeCold(5 * time.Second)
+		env := &fakeEnv{upstream: cup.serve, health: cup.health, sna: coldSnapshot(t, 5, false, 0)}
+		for range 2 {
+			prx, stop := runProxy(t, env)
+			sendCalls(t, prx, 100, 1500*time.Millisecond)
+			stop()
+		}
+		cup.checkArrivals(t)
+	})
+}
--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -34,7 +34,10 @@
 }
 
 func newUpstreamQueue(clo core.Clock) *upstreamQueue {
-	return &upstreamQueue{clock: clo, scheduler: sched.New(defaultSlots)}
+	que := &upstreamQueue{clock: clo, scheduler: sched.New(defaultSlots)}
+	// The process before this one may have sent requests until this one started.
+	que.scheduler.SetUnknownUntil(clo.Now())
+	return que
 }
 
 // acquire returns nil once the call holds a slot, or a refusal whose outcome is always "not run".
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -237,10 +237,11 @@
 // coldLimiter bounds the requests to a cold upstream in any one second, and among them the nested calls while root
 // requests arrive.
 type coldLimiter struct {
-	until      time.Time
-	all        sendLog
-	nested     sendLog
-	lastRootAt time.Time // when the last root request arrived
+	until        time.Time
+	unknownUntil time.Time // what was sent before this time is not known
+	all          sendLog
+	nested       sendLog
+	lastRootAt   time.Time // when the last root request arrived
 }
 
 // sendLog is a ring buffer of as many of the latest send times as requests are allowed in one second.
@@ -278,6 +279,8 @@
 	switch {
 	case !now.Before(col.until):
 		return true
+	case now.Sub(col.unknownUntil) < time.Second:
+		return false
 	case !isRoot && now.Sub(col.lastRootAt) < coldRootTime && !col.nested.allows(now):
 		return false
 	}
@@ -291,6 +294,9 @@
 		return time.Second
 	}
 	previous := col.all.sentAt[(col.all.oldest+ahead)%len(col.all.sentAt)]
+	if previous.Before(col.unknownUntil) {
+		previous = col.unknownUntil
+	}
 	return min(time.Second-now.Sub(previous), col.until.Sub(now))
 }
 
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -163,6 +163,10 @@
 	sch.cold.set(until, declaredRate*coldRateFactor)
 }
 
+// SetUnknownUntil sets the time until which other processes may have sent requests to the upstream. While it is cold, their
+// requests count against its rate like those of this one.
+func (sch *Scheduler) SetUnknownUntil(until time.Time) { sch.cold.unknownUntil = until }
+
 // SetGradualStart sets whether the limit of a class that has just started grows with each answered root request, unless
 // its root requests make no nested calls. Otherwise it is all slots until one fails, for unlimitedTime at most: after a
 // return of all hosts, these root requests have more nested calls in flight than the services further down the chain have
