Keep to the cold rate while health checks are not answered

A health check that became due (start of the node, lost connections, another instance, end of an evacuation) and stayed without an answer for a second was taken for a good one: from then on a cold upstream got every call.

Such an upstream is now unconfirmed. It gets the cold rate until a health check is answered, for the declared cold duration after the event at most. Each check that finds it warm allows as many calls as a cold upstream may get in one second, less those sent since the check began. A check that began before a further event no longer answers for that event.

Tests that waited for the end of that second, so that calls would be sent without a health check, now run the health checks of the proxy; their assertions are unchanged.

--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -149,3 +149,23 @@
 		cup.checkArrivals(t)
 	})
 }
+
+// Guards against taking an upstream for warm because its health checks are not answered.
+func TestColdUpstreamWithoutHealthAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cup := &coldUpstream{}
+		cup.becomeCold(coldDuration)
+		env := &fakeEnv{upstream: cup.serve, sna: coldSnapshot(t, 5, false, 0)}
+		env.health = func() (core.Health, error) {
+			time.Sleep(400 * time.Millisecond)
+			return core.Health{}, context.DeadlineExceeded
+		}
+		prx, stop := runProxy(t, env)
+		defer stop()
+		sendCalls(t, prx, 100, 4*time.Second)
+		cup.checkArrivals(t)
+		if answered := sendCalls(t, prx, 100, time.Second); answered < 90 {
+			t.Errorf("%d of 100 calls were answered after the longest cold time", answered)
+		}
+	})
+}
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -190,8 +190,22 @@
 	})
 }
 
-// waitUnknownHealth waits until a new proxy sends calls to its upstream without a successful health check.
-func waitUnknownHealth() { time.Sleep(1100 * time.Millisecond) }
+// awaitHealthCheck runs a new proxy until the end of the test and waits until it has checked the health of its upstream.
+func awaitHealthCheck(t *testing.T, prx *proxy.Proxy) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := prx.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	time.Sleep(300 * time.Millisecond)
+}
 
 func checkRefusal(t *testing.T, err error, reason core.Reason, outcome core.Outcome) {
 	t.Helper()
@@ -416,7 +430,7 @@
 		return ans, ans.Body().Close()
 	}
 	prx = newProxy(t, env)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	root := core.NewRoot(core.RootSpec{Team: "verona", KeyID: "verona-1", Class: "confirm", Deadline: time.Now().Add(500 * time.Millisecond)})
 	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
 		Root: root, Service: "orders", Method: http.MethodPost, Path: "/confirm/1", AttemptID: "r1", TargetLatency: time.Second, DeclarationsVersion: 5,
@@ -471,7 +485,7 @@
 				}
 				return prx.ServeRoot(ctx, request("/stock/nested", call.AttemptID()+".c1", ""))
 			}
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			serving := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
 			ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{Root: serving, Service: "orders", AttemptID: "r1", TargetLatency: time.Second}))
 			paths := []string{"/stock/root", "/stock/nested"}
@@ -515,7 +529,7 @@
 		}
 		return core.NewAnswer(http.StatusInternalServerError, http.Header{}, http.NoBody, func() core.Feedback { return core.NewFeedback(0, 1, 0, false) }), nil
 	}
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	serving := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
 	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{Root: serving, Service: "orders", AttemptID: "r1", TargetLatency: time.Second}))
 	if err != nil {
@@ -572,7 +586,7 @@
 				}
 			}
 			prx = newProxy(t, env)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			ended := make(chan struct{})
@@ -632,7 +646,7 @@
 				return okAnswer()
 			}
 			prx := newProxy(t, env)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			ans, err := prx.Serve(t.Context(), call(tst.service, tst.version))
 			if tst.reason == "" {
 				if err != nil {
@@ -659,7 +673,7 @@
 		return okAnswer()
 	}
 	prx := newProxy(t, env)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	root := core.NewRoot(core.RootSpec{Class: "read", Deadline: time.Now().Add(time.Minute)})
 	call := func(id string) *core.Call {
 		return core.NewCall(core.CallSpec{Root: root, Service: "orders", AttemptID: id, Depth: 1, TargetLatency: time.Second})
@@ -728,7 +742,7 @@
 	if _, err := prx.ServeRoot(t.Context(), request("/stock/1", "r1", apiKey)); err != nil {
 		t.Fatal(err)
 	}
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	for i, retry := range []bool{false, true} {
 		root := core.NewRoot(core.RootSpec{Team: "verona", Class: "read", Deadline: time.Now().Add(time.Second)})
 		ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
@@ -828,7 +842,7 @@
 		return answer(http.StatusInternalServerError, "", core.Feedback{}), nil
 	}
 	prx = newScheduledProxy(t, env, sdl)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	root := core.NewRoot(core.RootSpec{Team: "verona", Class: "read", Deadline: time.Now().Add(time.Second)})
 	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
 		Root: root, Service: "orders", Path: "/read/1", AttemptID: "run", TargetLatency: time.Second, Depth: 1,
@@ -925,7 +939,7 @@
 		return answer(http.StatusInternalServerError, "", core.Feedback{}), nil
 	}
 	prx = newProxy(t, env)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	serveRoot := func(id string) (*core.Answer, error) {
 		root := core.NewRoot(core.RootSpec{Team: "verona", Class: "confirm", Deadline: time.Now().Add(5 * time.Second)})
 		return prx.Serve(t.Context(), core.NewCall(core.CallSpec{Root: root, Service: "orders", Path: "/confirm/1", AttemptID: id, TargetLatency: time.Second}))
--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -18,6 +18,8 @@
 	mut       sync.Mutex
 	scheduler *sched.Scheduler
 	timerSet  bool // a timer for the next dispatch is running
+	// checkDue is called when a health check is due that would allow further calls.
+	checkDue func()
 
 	partRefusals atomic.Int64 // calls refused because their teams were above their parts
 }
@@ -47,9 +49,9 @@
 	que.dispatch(now)
 	dec := que.scheduler.Admit(now, tsk)
 	que.refuseEvicted()
-	remaining := que.scheduler.ColdRemaining(now)
+	retryAfter := que.scheduler.ColdRetryAfter(now)
 	dependencyRemaining := que.scheduler.DependencyColdRemaining(now, tsk.Class())
-	if remaining > 0 {
+	if que.scheduler.ColdRemaining(now) > 0 || que.scheduler.Unconfirmed() {
 		que.scheduleDispatch()
 	}
 	que.mut.Unlock()
@@ -59,7 +61,7 @@
 	case sched.Queued:
 		return que.wait(ctx, tsk, quc)
 	case sched.UpstreamCold:
-		return refusalFor(dec).WithRetryAfter(remaining)
+		return refusalFor(dec).WithRetryAfter(retryAfter)
 	case sched.DependencyCold:
 		return refusalFor(dec).WithRetryAfter(dependencyRemaining)
 	case sched.PartExceeded:
@@ -79,7 +81,7 @@
 	case sched.DeadlineTooClose:
 		return refuse(core.ReasonDeadline, "the time left until the deadline is less than the upstream needs for a call")
 	case sched.UpstreamCold:
-		return refuse(core.ReasonCold, "the upstream is cold and its reduced rate is used up")
+		return refuse(core.ReasonCold, "the upstream is or may be cold and its reduced rate is used up")
 	case sched.DependencyCold:
 		return refuse(core.ReasonDependencyCold, "a service that requests of the class need is cold")
 	case sched.PartExceeded:
@@ -144,6 +146,9 @@
 // dispatch wakes the queued calls that get a slot now and those whose deadline is too close. The caller holds the lock.
 func (que *upstreamQueue) dispatch(now time.Time) {
 	admitted, tooLate := que.scheduler.Dispatch(now)
+	if que.scheduler.NeedsCheck(now) {
+		que.checkDue()
+	}
 	for _, tsk := range admitted {
 		quc, _ := tsk.Value().(*queuedCall)
 		close(quc.ready)
@@ -228,6 +233,13 @@
 	que.scheduler.SetTrials(interval, offset)
 }
 
+// setColdRate sets the rate per second to which setCold limits calls.
+func (que *upstreamQueue) setColdRate(perSecond float64) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.SetColdRate(perSecond)
+}
+
 // setCold limits the calls to a rate per second until the upstream is warm.
 func (que *upstreamQueue) setCold(until time.Time, perSecond float64) {
 	que.mut.Lock()
@@ -236,6 +248,43 @@
 	que.scheduleDispatch()
 }
 
+// setUnconfirmed sets whether it is not known that the upstream is warm.
+func (que *upstreamQueue) setUnconfirmed(unconfirmed bool) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.SetUnconfirmed(unconfirmed)
+	que.dispatch(que.clock.Now())
+}
+
+// needsCheck reports whether a health check is due that would allow further calls.
+func (que *upstreamQueue) needsCheck() bool {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	return que.scheduler.NeedsCheck(que.clock.Now())
+}
+
+// sent returns how many calls were given a slot.
+func (que *upstreamQueue) sent() uint64 {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	return que.scheduler.Sent()
+}
+
+// confirm records that a health check found the upstream warm, which began when the given number of calls had been sent.
+func (que *upstreamQueue) confirm(sentBefore uint64) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.Confirm(sentBefore)
+	que.dispatch(que.clock.Now())
+}
+
+// checkFailed records a health check whose answer does not tell the state of the upstream.
+func (que *upstreamQueue) checkFailed() {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.CheckFailed()
+}
+
 // sentLastSecond returns how many calls were given a slot within the last second.
 func (que *upstreamQueue) sentLastSecond() int {
 	que.mut.Lock()
--- a/core/coordination/proxy/ranks_test.go
+++ b/core/coordination/proxy/ranks_test.go
@@ -62,7 +62,7 @@
 			}
 			prx = newScheduledProxy(t, env, tst.scheduling)
 			prx.SetRetryShare(0.5)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			for i := range 20 {
 				serveNestedCall(t, prx, "confirm", 0, fmt.Sprint("high", i))
 				serveNestedCall(t, prx, "read", 2, fmt.Sprint("low", i))
@@ -107,7 +107,7 @@
 				return okAnswer()
 			}
 			prx := newScheduledProxy(t, env, tst.scheduling)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			var grp sync.WaitGroup
 			serve := func(id string, rank, depth int) {
 				root := core.NewRoot(core.RootSpec{Team: "verona", Class: fmt.Sprint("rank", rank), Rank: rank, Deadline: time.Now().Add(5 * time.Second)})
--- a/core/coordination/proxy/scheduling_test.go
+++ b/core/coordination/proxy/scheduling_test.go
@@ -90,7 +90,7 @@
 		return okAnswer()
 	}
 	prx = newScheduledProxy(t, env, proxy.SchedulingWork)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	ans, err := prx.Serve(t.Context(), core.NewCall(core.CallSpec{
 		Root:    core.NewRoot(core.RootSpec{Team: "verona", Class: "read", Deadline: time.Now().Add(2 * time.Second)}),
 		Service: "orders", Path: "/read/1", AttemptID: "run", TargetLatency: time.Second,
@@ -117,7 +117,7 @@
 				return okAnswer()
 			}
 			prx := newScheduledProxy(t, env, sdl)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			results := make(chan error, sent)
 			for i := range sent {
 				go func() {
@@ -164,7 +164,7 @@
 		return okAnswer()
 	}
 	prx = newScheduledProxy(t, env, proxy.SchedulingAuto)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	byLatency := env.sna
 	byWork := snapshotWith(t, 5, false, false, 0, jsonObject{"services": []jsonObject{
 		{"name": "orders", "routes": []jsonObject{}, "upstream": jsonObject{"connections": 100, "health": "/health"}},
--- a/core/coordination/proxy/teams_test.go
+++ b/core/coordination/proxy/teams_test.go
@@ -27,7 +27,7 @@
 // runSurge sends the calls of a loud team, more than 18 slots serve, beside some of a quiet one for two seconds.
 func runSurge(t *testing.T, prx *proxy.Proxy) *surgeResult {
 	t.Helper()
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	sur := &surgeResult{}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
@@ -125,7 +125,7 @@
 		return okAnswer()
 	}
 	prx := newProxy(t, env)
-	waitUnknownHealth()
+	awaitHealthCheck(t, prx)
 	admitted := int64(0)
 	for i := range 200 {
 		ans, err := prx.ServeRoot(t.Context(), request("/stock/1", fmt.Sprint(i), apiKey))
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -13,7 +13,8 @@
 	healthInterval = 100 * time.Millisecond // between health checks until one succeeds
 	healthTimeout  = 400 * time.Millisecond
 	// unknownHealthTimeout is how long calls are refused because a health check is due and none has succeeded since.
-	// After that they are sent without one, if the host list has this host and the upstream is not known to be down.
+	// After that they are sent without one, but not faster than to a cold upstream, if the host list has this host and the
+	// upstream is not known to be down.
 	unknownHealthTimeout = time.Second
 	// unavailableLatency is the expected latency that a host reports while its upstream takes no calls.
 	unavailableLatency = 5 * time.Second
@@ -34,19 +35,36 @@
 	instance         string // as the host list named it last
 	coldVersion      uint64 // newest version under which the host list showed the upstream as cold
 	healthPath       string
-	coldRate         float64   // requests per second while cold; 0 if the service declares none
-	checkedInstance  string    // that answered the last health check
-	checkedColdUntil time.Time // as that answer said
-	checkWanted      bool      // the host list shows the upstream as cold, and no health check has succeeded since then
+	coldRate         float64       // requests per second while cold; 0 if the service declares none
+	coldDuration     time.Duration // after a start; 0 if the service declares none
+	checkedInstance  string        // that answered the last health check
+	checkedColdUntil time.Time     // as that answer said
+	checkWanted      bool          // the host list shows the upstream as cold, and no health check has succeeded since then
 
 	checkPending   bool          // a health check became due, and none has succeeded since then; calls are refused meanwhile
-	checkRequested chan struct{} // wakes runHealthChecks
+	checkRejected  bool          // since checkPending was set, the upstream has refused one as it refuses calls
+	checkRequested chan struct{} // wakes runHealthChecks after healthInterval
+	confirmDue     chan struct{} // wakes runHealthChecks at once
+	events         int           // that made a health check due or wanted; an earlier check does not answer for them
 	pendingSince   time.Time     // when checkPending was set
 	down           bool          // all connections were lost, and no health check has succeeded since then
 }
 
 func newOwnUpstream(set Settings, clo core.Clock, que *upstreamQueue) *ownUpstream {
-	return &ownUpstream{settings: set, clock: clo, queue: que, checkPending: true, pendingSince: clo.Now(), checkRequested: make(chan struct{}, 1)}
+	oup := &ownUpstream{
+		settings: set, clock: clo, queue: que, checkPending: true, pendingSince: clo.Now(),
+		checkRequested: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1),
+	}
+	que.checkDue = func() { wake(oup.confirmDue) }
+	return oup
+}
+
+// wake wakes the reader of a channel with a buffer of one, without blocking.
+func wake(woken chan struct{}) {
+	select {
+	case woken <- struct{}{}:
+	default:
+	}
 }
 
 // applySnapshot applies what a new configuration says about this host.
@@ -54,7 +72,10 @@
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
 	if ser := sna.Service(oup.settings.Service); ser != nil {
-		oup.healthPath, oup.coldRate = ser.HealthPath(), ser.ColdRate()
+		oup.healthPath, oup.coldRate, oup.coldDuration = ser.HealthPath(), ser.ColdRate(), ser.ColdDuration()
+		if oup.coldRate > 0 {
+			oup.queue.setColdRate(oup.coldRate)
+		}
 	}
 	dom := sna.Domain(oup.settings.Domain)
 	domainOut := dom != nil && dom.OutOfService()
@@ -62,6 +83,7 @@
 		oup.requireCheck(now, "evacuation ended")
 	}
 	oup.domainOut = domainOut
+	oup.updateConfirmation(now)
 	hos := sna.Hosts().Host(oup.settings.Host)
 	oup.listed = hos != nil && hos.Service() == oup.settings.Service
 	if !oup.listed {
@@ -91,29 +113,31 @@
 	}
 	oup.queue.setCold(now.Add(remaining), oup.coldRate)
 	oup.checkWanted = true
-	oup.requestCheck()
+	oup.events++
+	wake(oup.checkRequested)
 	oup.settings.EventLog.Note("upstream cold", "", map[string]any{
 		"instance": oup.instance, "for_ms": remaining.Milliseconds(), "version": oup.coldVersion, "sent_last_s": oup.queue.sentLastSecond(),
 	})
 }
 
-// requestCheck wakes runHealthChecks.
-func (oup *ownUpstream) requestCheck() {
-	select {
-	case oup.checkRequested <- struct{}{}:
-	default:
-	}
-}
-
 // requireCheck makes a health check due. The caller holds the lock.
 func (oup *ownUpstream) requireCheck(now time.Time, reason string) {
+	oup.events++
 	if !oup.checkPending {
-		oup.checkPending, oup.pendingSince = true, now
-		oup.requestCheck()
+		oup.checkPending, oup.checkRejected, oup.pendingSince = true, false, now
+		oup.updateConfirmation(now)
+		wake(oup.checkRequested)
 		oup.settings.EventLog.Note("upstream asked for its health", "", map[string]any{"why": reason, "sent_last_s": oup.queue.sentLastSecond()})
 	}
 }
 
+// updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. An event that
+// requires a check leaves it cold for coldDuration at most. The caller holds the lock.
+func (oup *ownUpstream) updateConfirmation(now time.Time) {
+	mayBeCold := oup.checkPending && (oup.coldDuration == 0 || now.Sub(oup.pendingSince) < oup.coldDuration)
+	oup.queue.setUnconfirmed(mayBeCold && oup.coldRate > 0 && oup.healthPath != "")
+}
+
 // connectionsLost records that the upstream does not listen or that all connections to it were lost.
 func (oup *ownUpstream) connectionsLost() {
 	oup.mut.Lock()
@@ -136,7 +160,7 @@
 		return refuse(core.ReasonDraining, "the upstream is leaving or is not on the host list")
 	case oup.down:
 		return refuse(core.ReasonNoUpstream, "the upstream does not listen or all connections to it were lost")
-	case oup.checkPending && oup.clock.Now().Sub(oup.pendingSince) < unknownHealthTimeout:
+	case oup.checkPending && !oup.checkRejected && oup.clock.Now().Sub(oup.pendingSince) < unknownHealthTimeout:
 		return refuse(core.ReasonNoUpstream, "the upstream has not answered a health check yet, so it may be cold")
 	}
 	return nil
@@ -152,49 +176,69 @@
 func (oup *ownUpstream) runHealthChecks(ctx context.Context) {
 	timer := time.NewTimer(healthInterval)
 	defer timer.Stop()
+	var retryAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-oup.checkRequested:
-		case <-timer.C:
-			path, pending := oup.pendingCheck()
-			if pending && path != "" {
-				oup.checkHealth(ctx, path)
-			}
-			if _, pending = oup.pendingCheck(); !pending {
-				continue // without a timer, until the next event that requires a check
+			timer.Reset(healthInterval)
+			continue
+		case <-oup.confirmDue:
+			if oup.clock.Now().Before(retryAt) {
+				continue
 			}
+		case <-timer.C:
+		}
+		path, pending := oup.pendingCheck()
+		if pending && path != "" {
+			oup.checkHealth(ctx, path)
+		}
+		if _, pending = oup.pendingCheck(); pending {
+			retryAt = oup.clock.Now().Add(healthInterval)
+			timer.Reset(healthInterval)
 		}
-		timer.Reset(healthInterval)
 	}
 }
 
+// pendingCheck returns the path of health checks and whether one is due or wanted.
 func (oup *ownUpstream) pendingCheck() (path string, pending bool) {
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
-	return oup.healthPath, oup.checkPending || oup.checkWanted
+	oup.updateConfirmation(oup.clock.Now())
+	return oup.healthPath, oup.checkPending || oup.checkWanted || oup.queue.needsCheck()
 }
 
 func (oup *ownUpstream) checkHealth(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	oup.mut.Lock()
+	events, sent := oup.events, oup.queue.sent()
+	oup.mut.Unlock()
 	hea, err := oup.settings.Upstream.Health(ctx, path)
+	oup.mut.Lock()
+	defer oup.mut.Unlock()
 	if err != nil {
+		oup.queue.checkFailed()
 		return
 	}
-	oup.mut.Lock()
-	defer oup.mut.Unlock()
 	now := oup.clock.Now()
 	remaining := hea.ColdRemaining()
 	if hea.Instance() != "" {
 		oup.settings.Upstream.PinInstance(hea.Instance())
 	}
-	if oup.coldRate > 0 {
+	answersAll := events == oup.events
+	if oup.coldRate > 0 && (answersAll || remaining > 0) {
 		oup.queue.setCold(now.Add(remaining), oup.coldRate)
 	}
+	if oup.coldRate > 0 && remaining == 0 {
+		oup.queue.confirm(sent)
+	}
 	oup.checkedInstance, oup.checkedColdUntil = hea.Instance(), now.Add(remaining)
-	oup.checkPending, oup.checkWanted, oup.down = false, false, false
+	if answersAll {
+		oup.checkPending, oup.checkWanted, oup.down = false, false, false
+	}
+	oup.updateConfirmation(now)
 	oup.settings.EventLog.Note("upstream answers", "", map[string]any{
 		"instance": hea.Instance(), "serving": hea.Serving(), "cold_ms": remaining.Milliseconds(),
 		"sent_last_s": oup.queue.sentLastSecond(),
--- a/core/coordination/proxy/work_test.go
+++ b/core/coordination/proxy/work_test.go
@@ -74,7 +74,7 @@
 				return ans, nil
 			}
 			prx = newScheduledProxy(t, env, tst.scheduling)
-			waitUnknownHealth()
+			awaitHealthCheck(t, prx)
 			var fee core.Feedback
 			for i := range 30 {
 				fee = serveCall(t, prx, fmt.Sprint("r", i))
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"amaranthline/core/state/parts"
@@ -235,13 +236,22 @@
 }
 
 // coldLimiter bounds the requests to a cold upstream in any one second, and among them the nested calls while root
-// requests arrive.
+// requests arrive. It records sends at all times, because an upstream may have become cold before that is known.
+//
+// While it is not confirmed that the upstream is warm, it is limited in the same way, but each health check that finds it
+// warm allows further calls: as many as a cold upstream may get in one second, less those sent since the check began. So it
+// gets no more than these if it became cold right after its answer.
 type coldLimiter struct {
 	until        time.Time
 	unknownUntil time.Time // what was sent before this time is not known
 	all          sendLog
 	nested       sendLog
 	lastRootAt   time.Time // when the last root request arrived
+
+	unconfirmed bool
+	checksFail  bool   // the latest health check has not found the upstream warm
+	sent        uint64 // calls sent in all
+	credit      int    // calls that the latest health check still allows while unconfirmed
 }
 
 // sendLog is a ring buffer of as many of the latest send times as requests are allowed in one second.
@@ -250,18 +260,25 @@
 	oldest int // index of the oldest send time
 }
 
-// set sets until when the upstream is cold and the allowed requests per second. The send times are kept while the rate
-// stays the same.
-func (col *coldLimiter) set(until time.Time, rate float64) {
-	col.until = until
+// setRate sets the requests per second that are allowed while the upstream is cold.
+func (col *coldLimiter) setRate(rate float64) {
 	col.all.resize(max(1, int(rate)))
 	col.nested.resize(max(1, int(rate*coldNestedFraction)))
 }
 
+// resize keeps the latest send times. Those that a shorter log has overwritten are taken to be as late as its oldest.
 func (slo *sendLog) resize(capacity int) {
-	if capacity != len(slo.sentAt) {
-		slo.sentAt, slo.oldest = make([]time.Time, capacity), 0
+	if capacity == len(slo.sentAt) {
+		return
+	}
+	before := slices.Concat(slo.sentAt[slo.oldest:], slo.sentAt[:slo.oldest])
+	after := make([]time.Time, capacity)
+	for i := range after {
+		if len(before) > 0 {
+			after[i] = before[max(len(before)-capacity+i, 0)]
+		}
 	}
+	slo.sentAt, slo.oldest = after, 0
 }
 
 // allows reports whether fewer requests than allowed were sent within the last second.
@@ -277,7 +294,7 @@
 // allows reports whether one more call may be sent now.
 func (col *coldLimiter) allows(now time.Time, isRoot bool) bool {
 	switch {
-	case !now.Before(col.until):
+	case !now.Before(col.until) && (!col.unconfirmed || col.credit > 0):
 		return true
 	case now.Sub(col.unknownUntil) < time.Second:
 		return false
@@ -297,11 +314,31 @@
 	if previous.Before(col.unknownUntil) {
 		previous = col.unknownUntil
 	}
-	return min(time.Second-now.Sub(previous), col.until.Sub(now))
+	wait := time.Second - now.Sub(previous)
+	if !col.unconfirmed {
+		wait = min(wait, col.until.Sub(now))
+	}
+	return wait
+}
+
+// refuses reports whether calls that may not be sent now are refused instead of waiting for the next health check.
+func (col *coldLimiter) refuses(now time.Time) bool { return now.Before(col.until) || col.checksFail }
+
+// confirm records that a health check found the upstream warm, which began when the given number of calls had been sent.
+func (col *coldLimiter) confirm(sentBefore uint64) {
+	col.checksFail = false
+	col.credit = max(len(col.all.sentAt)-int(col.sent-sentBefore), 0) //nolint:gosec // calls sent during one check
+}
+
+// needsCheck reports whether another health check is due to allow further calls.
+func (col *coldLimiter) needsCheck(now time.Time) bool {
+	return col.unconfirmed && !now.Before(col.until) && 2*col.credit <= len(col.all.sentAt)
 }
 
 // record counts a call that is sent now.
 func (col *coldLimiter) record(now time.Time, isRoot bool) {
+	col.sent++
+	col.credit = max(col.credit-1, 0)
 	col.all.record(now)
 	if !isRoot {
 		col.nested.record(now)
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -158,11 +158,46 @@
 	sch.slots = max(1, slots-int(math.Ceil(reservedFraction*float64(slots))))
 }
 
-// SetCold sets until when the upstream is cold and its declared rate until then, in requests per second.
+// SetColdRate sets the declared rate of the upstream while it is cold, in requests per second.
+func (sch *Scheduler) SetColdRate(declaredRate float64) {
+	sch.cold.setRate(declaredRate * coldRateFactor)
+}
+
+// SetCold sets until when the upstream is cold and its declared rate until then, in requests per second. If the rate was
+// set before, the calls that were sent within the last second count against it.
 func (sch *Scheduler) SetCold(until time.Time, declaredRate float64) {
-	sch.cold.set(until, declaredRate*coldRateFactor)
+	sch.SetColdRate(declaredRate)
+	sch.cold.until = until
+	sch.cold.credit = 0
 }
 
+// SetUnconfirmed sets whether it is not known that the upstream is warm, although nothing shows it as cold. Meanwhile it is
+// limited to the cold rate beyond what Confirm allows. Without a cold rate there is no such state.
+func (sch *Scheduler) SetUnconfirmed(unconfirmed bool) {
+	unconfirmed = unconfirmed && len(sch.cold.all.sentAt) > 0
+	if unconfirmed && !sch.cold.unconfirmed {
+		sch.cold.credit, sch.cold.checksFail = 0, false
+	}
+	sch.cold.unconfirmed = unconfirmed
+}
+
+// Unconfirmed reports whether it is not known that the upstream is warm.
+func (sch *Scheduler) Unconfirmed() bool { return sch.cold.unconfirmed }
+
+// Sent returns how many calls were given a slot.
+func (sch *Scheduler) Sent() uint64 { return sch.cold.sent }
+
+// Confirm records that a health check has found the upstream warm; sentBefore is what Sent returned when it began.
+func (sch *Scheduler) Confirm(sentBefore uint64) { sch.cold.confirm(sentBefore) }
+
+// CheckFailed records that a health check was not answered with the state of the upstream. While the upstream is
+// unconfirmed, calls beyond the cold rate are refused until the next one that finds it warm, instead of waiting for it.
+func (sch *Scheduler) CheckFailed() { sch.cold.checksFail = true }
+
+// NeedsCheck reports whether a health check is due, because the upstream is unconfirmed and the latest check allows few
+// further calls.
+func (sch *Scheduler) NeedsCheck(now time.Time) bool { return sch.cold.needsCheck(now) }
+
 // SetUnknownUntil sets the time until which other processes may have sent requests to the upstream. While it is cold, their
 // requests count against its rate like those of this one.
 func (sch *Scheduler) SetUnknownUntil(until time.Time) { sch.cold.unknownUntil = until }
@@ -205,6 +240,15 @@
 	return max(sch.cold.until.Sub(now), 0)
 }
 
+// ColdRetryAfter returns when a call that was refused as UpstreamCold may come again: once the upstream is warm or, if it
+// is not known to be cold, once another call may be sent.
+func (sch *Scheduler) ColdRetryAfter(now time.Time) time.Duration {
+	if remaining := sch.ColdRemaining(now); remaining > 0 {
+		return remaining
+	}
+	return max(sch.cold.delay(now, 0), 0)
+}
+
 // SentLastSecond returns how many calls were given a slot within the last second.
 func (sch *Scheduler) SentLastSecond(now time.Time) int { return sch.sent.total(now) }
 
@@ -267,7 +311,7 @@
 		sch.cold.lastRootAt = now
 	}
 	coldAllows := sch.cold.allows(now, tas.spec.IsRoot)
-	if !coldAllows && (tas.spec.IsRoot || sch.cold.delay(now, len(sch.queue)) > maxNestedWait) {
+	if !coldAllows && sch.cold.refuses(now) && (tas.spec.IsRoot || sch.cold.delay(now, len(sch.queue)) > maxNestedWait) {
 		return UpstreamCold
 	}
 	if sch.inFlight < sch.slots && coldAllows && (len(sch.queue) == 0 || tas.spec.IsRoot && now.Before(sch.cold.until)) {
