Keep to the cold rate at nodes that may miss an evacuation

Upstreams get cold while their failure domain is evacuated. Being cut off does not excuse it.

It sends no more calls between two health checks that find the upstream warm than a cold one may get in one second, so the check after the upstream became cold comes in time, at any rate of calls. A warm upstream is served as before while its health checks are answered.

TestColdUpstreamOfCutOffNode failed before: 400 calls reached the cold upstream in the second, want at most 15. It also checks that all calls are answered while the upstream is warm.

--- a/core/coordination/gossip/status.go
+++ b/core/coordination/gossip/status.go
@@ -69,6 +69,14 @@
 	return sta.BootReads + sta.FallbackReads + sta.WatchReads + sta.Waits
 }
 
+// Stale reports whether the newest known read of the platform is older than it ever is while all is well.
+func (syn *Syncer) Stale() bool {
+	syn.mut.Lock()
+	defer syn.mut.Unlock()
+	age, _ := syn.freshness.Age(time.Now())
+	return age > staleAfter
+}
+
 // Status returns the current status of the node.
 func (syn *Syncer) Status() Status {
 	cou := &syn.counts
--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -93,6 +93,11 @@
 func runProxy(t *testing.T, env *fakeEnv) (prx *proxy.Proxy, stop func()) {
 	t.Helper()
 	prx = newProxy(t, env)
+	return prx, runUntilStopped(t, prx)
+}
+
+func runUntilStopped(t *testing.T, prx *proxy.Proxy) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() {
@@ -100,7 +105,7 @@
 			t.Error(err)
 		}
 	})
-	return prx, func() {
+	return func() {
 		cancel()
 		running.Wait()
 	}
@@ -169,3 +174,40 @@
 		}
 	})
 }
+
+// cutOffPeers are the peers of a node whose failure domain is cut off from all others.
+type cutOffPeers struct{ *fakeEnv }
+
+func (cop cutOffPeers) State(host string) core.PeerState {
+	hos := cop.sna.Hosts().Host(host)
+	return core.NewPeerState(hos != nil && hos.Domain() == "a", false, 0, time.Millisecond)
+}
+
+// Guards against a node that does not learn of the evacuation of its failure domain, because it is cut off from the others,
+// and sends all calls to its upstream when that has become cold meanwhile.
+func TestColdUpstreamOfCutOffNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 400
+		cup := &coldUpstream{}
+		env := &fakeEnv{upstream: cup.serve, sna: coldSnapshot(t, 5, false, 0)}
+		env.health = func() (core.Health, error) {
+			time.Sleep(time.Millisecond)
+			hea, err := cup.health()
+			time.Sleep(time.Millisecond)
+			return hea, err
+		}
+		prx := newProxyWithPeers(t, env, cutOffPeers{env})
+		defer runUntilStopped(t, prx)()
+		time.Sleep(time.Second)
+		if answered := sendCalls(t, prx, perSecond, 2*time.Second); answered < 2*perSecond {
+			t.Errorf("%d of %d calls were answered while the upstream was warm", answered, 2*perSecond)
+		}
+		cup.becomeCold(coldDuration)
+		sendCalls(t, prx, perSecond, coldDuration)
+		cup.checkArrivals(t)
+		time.Sleep(time.Second)
+		if answered := sendCalls(t, prx, perSecond, 2*time.Second); answered < 2*perSecond {
+			t.Errorf("%d of %d calls were answered after the cold time", answered, 2*perSecond)
+		}
+	})
+}
--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -54,9 +54,11 @@
 	Peers    core.Peers
 	Upstream core.CheckedUpstream
 	Snapshot func() *decl.Snapshot
-	Observer core.Observer
-	EventLog core.EventLog
-	Rand     *rand.Rand // must not be used elsewhere
+	// ConfigurationStale reports whether no recent read of the configuration is known; nil means that one always is.
+	ConfigurationStale func() bool
+	Observer           core.Observer
+	EventLog           core.EventLog
+	Rand               *rand.Rand // must not be used elsewhere
 	// Scheduling selects what decides where calls run and who is refused.
 	Scheduling Scheduling
 	// RetryShare is the highest ratio of retries to calls that this node sends to a service.
--- a/core/coordination/proxy/rates.go
+++ b/core/coordination/proxy/rates.go
@@ -322,43 +322,15 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			prx.granter.Advance(prx.clock.Now(), prx.inContact())
-		}
-	}
-}
-
-// inContact reports whether at least as many connections to other hosts are up as are down.
-func (prx *Proxy) inContact() bool {
-	sna := prx.settings.Snapshot()
-	if sna == nil {
-		return false
-	}
-	up, down := prx.peersByDomain(sna)
-	balance := 0
-	for _, count := range up {
-		balance += count
-	}
-	for _, count := range down {
-		balance -= count
-	}
-	return balance >= 0
-}
-
-// peersByDomain counts, by failure domain, the connections to other hosts that are up and those that are down.
-func (prx *Proxy) peersByDomain(sna *decl.Snapshot) (up, down map[string]int) {
-	up, down = map[string]int{}, map[string]int{}
-	for _, host := range prx.connectedHosts() {
-		hos := sna.Hosts().Host(host)
-		pst := prx.settings.Peers.State(host)
-		switch {
-		case hos == nil || !pst.Known():
-		case pst.Up():
-			up[hos.Domain()]++
-		default:
-			down[hos.Domain()]++
+			sna := prx.settings.Snapshot()
+			if sna == nil {
+				continue
+			}
+			up, down := prx.peersByDomain(sna)
+			prx.granter.Advance(prx.clock.Now(), inContact(up, down))
+			prx.upstream.setMayBeEvacuated(prx.mayMissConfiguration(up, down))
 		}
 	}
-	return up, down
 }
 
 // connectedHosts returns the hosts to which this node keeps connections.
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -47,6 +47,7 @@
 	confirmDue     chan struct{} // wakes runHealthChecks at once
 	events         int           // that made a health check due or wanted; an earlier check does not answer for them
 	pendingSince   time.Time     // when checkPending was set
+	mayBeEvacuated bool          // the failure domain may be out of service without this node's knowledge
 	down           bool          // all connections were lost, and no health check has succeeded since then
 }
 
@@ -131,10 +132,23 @@
 	}
 }
 
+// setMayBeEvacuated sets whether the failure domain may be out of service without this node's knowledge. Upstreams get
+// cold while their failure domain is out of service.
+func (oup *ownUpstream) setMayBeEvacuated(mayBe bool) {
+	oup.mut.Lock()
+	defer oup.mut.Unlock()
+	if mayBe == oup.mayBeEvacuated {
+		return
+	}
+	oup.mayBeEvacuated = mayBe
+	oup.updateConfirmation(oup.clock.Now())
+	oup.settings.EventLog.Note("configuration may be missed", "", map[string]any{"may_be": mayBe, "sent_last_s": oup.queue.sentLastSecond()})
+}
+
 // updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. An event that
 // requires a check leaves it cold for coldDuration at most. The caller holds the lock.
 func (oup *ownUpstream) updateConfirmation(now time.Time) {
-	mayBeCold := oup.checkPending && (oup.coldDuration == 0 || now.Sub(oup.pendingSince) < oup.coldDuration)
+	mayBeCold := oup.mayBeEvacuated || oup.checkPending && (oup.coldDuration == 0 || now.Sub(oup.pendingSince) < oup.coldDuration)
 	oup.queue.setUnconfirmed(mayBeCold && oup.coldRate > 0 && oup.healthPath != "")
 }
 
@@ -235,10 +249,15 @@
 		oup.queue.confirm(sent)
 	}
 	oup.checkedInstance, oup.checkedColdUntil = hea.Instance(), now.Add(remaining)
+	// Checks that only confirm a warm upstream are too many for the log.
+	awaited := oup.checkPending || oup.checkWanted
 	if answersAll {
 		oup.checkPending, oup.checkWanted, oup.down = false, false, false
 	}
 	oup.updateConfirmation(now)
+	if !awaited && remaining == 0 {
+		return
+	}
 	oup.settings.EventLog.Note("upstream answers", "", map[string]any{
 		"instance": hea.Instance(), "serving": hea.Serving(), "cold_ms": remaining.Milliseconds(),
 		"sent_last_s": oup.queue.sentLastSecond(),
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -99,7 +99,7 @@
 	nod.proxy = proxy.New(proxy.Settings{
 		Host: set.Host, Domain: set.Domain, Service: set.Service, Peers: nod.mesh, Upstream: nod.upstream,
 		Snapshot: nod.syncer.Snapshot, Observer: nod.metrics, EventLog: eventLog, Rand: newRand(), RetryShare: set.RetryShare,
-		Scheduling: set.Scheduling,
+		Scheduling: set.Scheduling, ConfigurationStale: nod.syncer.Stale,
 	})
 	div := memory.Divide(set.MemoryMB, set.MaxFiles, set.Connections)
 	base.LimitHeap(div)
