Do not take an upstream for warm that had no room for the health check

An upstream refuses a health check in the same way as a call while it is full, and such an answer says nothing of its state. It counted as one of an upstream that is warm, so a cold one got all calls from then on. It now counts as an answer, so calls are sent, but they keep to the cold rate until a health check is run.

TestColdUpstreamRejectsHealthChecks failed before: 90 calls reached the cold upstream in the second, want at most 15.

--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -175,6 +175,23 @@
 	})
 }
 
+// Guards against taking an upstream for warm because it had no room for the health check, and against refusing all calls
+// to an upstream that answers.
+func TestColdUpstreamRejectsHealthChecks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cup := &coldUpstream{}
+		env := &fakeEnv{upstream: cup.serve, sna: coldSnapshot(t, 5, false, 0)}
+		env.health = func() (core.Health, error) { return core.NewRejectedHealth(), nil }
+		// The process starts before the upstream, so it knows of all calls.
+		prx, stop := runProxy(t, env)
+		defer stop()
+		time.Sleep(time.Second)
+		cup.becomeCold(900 * time.Millisecond)
+		sendCalls(t, prx, 100, time.Second)
+		cup.checkArrivals(t)
+	})
+}
+
 // cutOffPeers are the peers of a node whose failure domain is cut off from all others.
 type cutOffPeers struct{ *fakeEnv }
 
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -232,7 +232,10 @@
 	hea, err := oup.settings.Upstream.Health(ctx, path)
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
-	if err != nil {
+	if err != nil || hea.Rejected() {
+		if err == nil {
+			oup.checkRejected, oup.down = true, false
+		}
 		oup.queue.checkFailed()
 		return
 	}
--- a/core/ports.go
+++ b/core/ports.go
@@ -25,6 +25,7 @@
 	instance      string
 	serving       bool
 	coldRemaining time.Duration
+	rejected      bool
 }
 
 // NewHealth returns a health: the identifier of the instance, which is new after each start of the upstream, whether it
@@ -33,6 +34,13 @@
 	return Health{instance: instance, serving: serving, coldRemaining: coldRemaining}
 }
 
+// NewRejectedHealth returns the health of an upstream that refused a health check as it refuses calls, without running it.
+// The upstream answers, but whether it is cold is not known.
+func NewRejectedHealth() Health { return Health{rejected: true} }
+
+// Rejected reports whether the upstream refused the health check, so that nothing else of the health is known.
+func (hea Health) Rejected() bool { return hea.rejected }
+
 // Instance returns the identifier that the upstream has had since its last start, or "" if none is known.
 func (hea Health) Instance() string { return hea.instance }
 
