Check an upstream's health after a lost connection

An upstream may start again under the identifier that it had, and then nothing but its connections shows it: calls are not refused as meant for another instance, and the host list shows it as cold up to some seconds later. A node asked for the health only when all calls in flight lost their connections within 250 ms. Calls that hang since before the restart, or new connections to the restarted upstream, kept it from seeing a crash, and the cold upstream got all calls.

Each connection that is lost or cannot be established now leaves the upstream unconfirmed until a health check is answered. Calls are not refused for that; a warm upstream gets them as soon as the check is answered.

TestColdUpstreamAfterLostConnection failed before (with the report of the loss left out): 200 calls reached the cold upstream in the second, want at most 15. TestLostConnectionIsReported covers the report.

--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -192,6 +192,25 @@
 	})
 }
 
+// Guards against an upstream that starts again under the same identifier while calls run, whose restart shows only in a
+// lost connection, and that gets all calls until the host list shows it as cold.
+func TestColdUpstreamAfterLostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cup := &coldUpstream{}
+		env := &fakeEnv{upstream: cup.serve, health: cup.health, sna: coldSnapshot(t, 5, false, 0)}
+		prx, stop := runProxy(t, env)
+		defer stop()
+		time.Sleep(time.Second)
+		var grp sync.WaitGroup
+		grp.Go(func() { sendCalls(t, prx, 200, 3*time.Second) })
+		time.Sleep(time.Second)
+		cup.becomeCold(coldDuration)
+		prx.ConnectionLost()
+		grp.Wait()
+		cup.checkArrivals(t)
+	})
+}
+
 // cutOffPeers are the peers of a node whose failure domain is cut off from all others.
 type cutOffPeers struct{ *fakeEnv }
 
--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -147,6 +147,10 @@
 // it were lost.
 func (prx *Proxy) UpstreamCrashed() { prx.upstream.connectionsLost() }
 
+// ConnectionLost records that a connection to the node's own upstream was lost or could not be established. The upstream may
+// have started again under the same identifier.
+func (prx *Proxy) ConnectionLost() { prx.upstream.connectionLost() }
+
 // SetSnapshot applies a new configuration.
 func (prx *Proxy) SetSnapshot(sna *decl.Snapshot) {
 	now := prx.clock.Now()
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -47,6 +47,7 @@
 	confirmDue     chan struct{} // wakes runHealthChecks at once
 	events         int           // that made a health check due or wanted; an earlier check does not answer for them
 	pendingSince   time.Time     // when checkPending was set
+	lostAt         time.Time     // when a connection was lost, if no health check has succeeded since then; else zero
 	mayBeEvacuated bool          // the failure domain may be out of service without this node's knowledge
 	down           bool          // all connections were lost, and no health check has succeeded since then
 }
@@ -148,7 +149,11 @@
 // updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. An event that
 // requires a check leaves it cold for coldDuration at most. The caller holds the lock.
 func (oup *ownUpstream) updateConfirmation(now time.Time) {
-	mayBeCold := oup.mayBeEvacuated || oup.checkPending && (oup.coldDuration == 0 || now.Sub(oup.pendingSince) < oup.coldDuration)
+	since := oup.lostAt
+	if oup.checkPending && oup.pendingSince.After(since) {
+		since = oup.pendingSince
+	}
+	mayBeCold := oup.mayBeEvacuated || !since.IsZero() && (oup.coldDuration == 0 || now.Sub(since) < oup.coldDuration)
 	oup.queue.setUnconfirmed(mayBeCold && oup.coldRate > 0 && oup.healthPath != "")
 }
 
@@ -163,6 +168,16 @@
 	oup.requireCheck(oup.clock.Now(), "connections lost")
 }
 
+// connectionLost records that a connection was lost or could not be established. Until a health check shows whether the
+// upstream has started again, it is unconfirmed; calls are not refused for that.
+func (oup *ownUpstream) connectionLost() {
+	oup.mut.Lock()
+	defer oup.mut.Unlock()
+	oup.events++
+	oup.lostAt = oup.clock.Now()
+	oup.updateConfirmation(oup.lostAt)
+}
+
 // refusal returns why no call may be sent to the upstream now, or nil if calls may be sent.
 func (oup *ownUpstream) refusal() *core.Refusal {
 	oup.mut.Lock()
@@ -255,7 +270,7 @@
 	// Checks that only confirm a warm upstream are too many for the log.
 	awaited := oup.checkPending || oup.checkWanted
 	if answersAll {
-		oup.checkPending, oup.checkWanted, oup.down = false, false, false
+		oup.checkPending, oup.checkWanted, oup.down, oup.lostAt = false, false, false, time.Time{}
 	}
 	oup.updateConfirmation(now)
 	if !awaited && remaining == 0 {
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -90,7 +90,7 @@
 	})
 	nod.upstream = back.New(back.Settings{
 		BaseURL: set.Upstream, MaxConnections: set.Connections, OnCrash: func() { nod.proxy.UpstreamCrashed() },
-		IdleTimeout: upstreamIdleTimeout, Dialect: ada.Upstream,
+		OnConnLost: func() { nod.proxy.ConnectionLost() }, IdleTimeout: upstreamIdleTimeout, Dialect: ada.Upstream,
 	})
 	nod.syncer = gossip.New(gossip.Settings{
 		Host: set.Host, Domain: set.Domain, Peers: nod.mesh, Source: ada.Source, Rand: newRand(),
--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -35,6 +35,7 @@
 	MaxConnections int           // maximum of connections in use
 	DialTimeout    time.Duration // 500 ms when zero
 	OnCrash        func()        // called when the upstream seems to have crashed, once until it is reached again; may be nil
+	OnConnLost     func()        // called when a connection is lost or cannot be established; may be nil
 	IdleTimeout    time.Duration // how long an idle connection may be reused; 4 s when zero
 	// Dialect sets the headers of calls and classifies answers; nil means amaranthline's own headers.
 	Dialect core.UpstreamDialect
@@ -71,7 +72,10 @@
 	if set.Dialect == nil {
 		set.Dialect = defaultDialect{}
 	}
-	cli := &Client{detector: crashDetector{onCrash: set.OnCrash}, dialect: set.Dialect}
+	if set.OnConnLost == nil {
+		set.OnConnLost = func() {}
+	}
+	cli := &Client{detector: crashDetector{onCrash: set.OnCrash, onConnLost: set.OnConnLost}, dialect: set.Dialect}
 	cli.PinInstance("")
 	base, err := url.Parse(set.BaseURL)
 	if err == nil && base.Scheme == "http" && base.Host != "" {
--- a/io/transport/back/back_test.go
+++ b/io/transport/back/back_test.go
@@ -333,6 +333,35 @@
 	}
 }
 
+// Guards against a restart of the upstream that shows only in one lost connection, while calls on others go on.
+func TestLostConnectionIsReported(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodGet {
+			<-release
+			return
+		}
+		if con, _, err := http.NewResponseController(wri).Hijack(); err == nil {
+			_ = con.Close()
+		}
+	}))
+	defer srv.Close()
+	defer close(release)
+	var crashes, losses atomic.Int64
+	cli := newClient(t, back.Settings{BaseURL: srv.URL, OnCrash: func() { crashes.Add(1) }, OnConnLost: func() { losses.Add(1) }})
+	for range 3 {
+		go do(t.Context(), cli, newCall(http.MethodGet, "", testTimeout, nil)) //nolint:errcheck // ends with the test
+	}
+	for cli.InFlight() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	res, err := do(t.Context(), cli, newCall(http.MethodPost, "x", testTimeout, nil))
+	checkResult(t, res, back.ResultConnReset, err, core.ReasonUpstreamFailed, core.OutcomeUnknown)
+	if diff := cmp.Diff([]int64{0, 1}, []int64{crashes.Load(), losses.Load()}); diff != "" {
+		t.Errorf("reported crashes and lost connections (-want +got):\n%s", diff)
+	}
+}
+
 type failingReader struct{ err error }
 
 func (fre failingReader) Read([]byte) (int, error) { return 0, fre.err }
--- a/io/transport/back/failure.go
+++ b/io/transport/back/failure.go
@@ -81,6 +81,7 @@
 		att.cli.detector.markDown()
 		return newError(ResultConnRefused, core.ReasonNoUpstream, out, "the upstream refused the connection", err)
 	case out == core.OutcomeNotRun:
+		att.cli.detector.onConnLost()
 		return newError(ResultFailed, core.ReasonNoUpstream, out, "the connection to the upstream failed before any byte of the request was sent", err)
 	case isConnectionLoss(err):
 		att.con.recordLostOnReuse()
@@ -138,8 +139,9 @@
 
 // crashDetector detects from refused and lost connections that the upstream has crashed.
 type crashDetector struct {
-	onCrash func()
-	down    atomic.Bool // a crash was detected, and the upstream has not been reached since then
+	onCrash    func()
+	onConnLost func()
+	down       atomic.Bool // a crash was detected, and the upstream has not been reached since then
 
 	mut         sync.Mutex // guards the fields below; taken only when connections are lost
 	windowStart time.Time
@@ -175,6 +177,7 @@
 		det.windowStart = time.Time{}
 	}
 	det.mut.Unlock()
+	det.onConnLost()
 	if crashed {
 		det.markDown()
 	}
