Apply a second cold time of an upstream that is still cold

Within a cold time that a health check had told, what the host list said was ignored, because it is usually the same cold time seen later. An upstream that became cold again meanwhile got all calls once the first cold time was over, although the list showed the second. The list now extends the known cold time, and a health check asks for the exact one.

TestUpstreamBecomesColdAgainWhileCold failed before: 100 calls reached the cold upstream in the second, want at most 15. TestLateListDoesNotExtendColdTime still passes.

--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -211,6 +211,25 @@
 	})
 }
 
+// Guards against an upstream that becomes cold again while it is cold, and gets all calls once the first cold time is over.
+func TestUpstreamBecomesColdAgainWhileCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cup := &coldUpstream{}
+		cup.becomeCold(coldDuration)
+		env := &fakeEnv{upstream: cup.serve, health: cup.health, sna: coldSnapshot(t, 5, false, 0)}
+		prx, stop := runProxy(t, env)
+		defer stop()
+		var grp sync.WaitGroup
+		grp.Go(func() { sendCalls(t, prx, 100, 5*time.Second) })
+		time.Sleep(2 * time.Second)
+		cup.becomeCold(coldDuration)
+		env.sna = coldSnapshot(t, 6, false, coldDuration)
+		prx.SetSnapshot(env.sna)
+		grp.Wait()
+		cup.checkArrivals(t)
+	})
+}
+
 // cutOffPeers are the peers of a node whose failure domain is cut off from all others.
 type cutOffPeers struct{ *fakeEnv }
 
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -28,18 +28,17 @@
 	clock    core.Clock
 	queue    *upstreamQueue
 
-	mut              sync.Mutex
-	listed           bool   // the host list has this host for this service
-	leaving          bool   // the host list shows this host as leaving
-	domainOut        bool   // the failure domain is out of service
-	instance         string // as the host list named it last
-	coldVersion      uint64 // newest version under which the host list showed the upstream as cold
-	healthPath       string
-	coldRate         float64       // requests per second while cold; 0 if the service declares none
-	coldDuration     time.Duration // after a start; 0 if the service declares none
-	checkedInstance  string        // that answered the last health check
-	checkedColdUntil time.Time     // as that answer said
-	checkWanted      bool          // the host list shows the upstream as cold, and no health check has succeeded since then
+	mut          sync.Mutex
+	listed       bool   // the host list has this host for this service
+	leaving      bool   // the host list shows this host as leaving
+	domainOut    bool   // the failure domain is out of service
+	instance     string // as the host list named it last
+	coldVersion  uint64 // newest version under which the host list showed the upstream as cold
+	healthPath   string
+	coldRate     float64       // requests per second while cold; 0 if the service declares none
+	coldDuration time.Duration // after a start; 0 if the service declares none
+	coldUntil    time.Time     // as the host list or a health check said last
+	checkWanted  bool          // the host list shows the upstream as cold, and no health check has succeeded since then
 
 	checkPending   bool          // a health check became due, and none has succeeded since then; calls are refused meanwhile
 	checkRejected  bool          // since checkPending was set, the upstream has refused one as it refuses calls
@@ -107,13 +106,13 @@
 }
 
 // listedCold applies that the host list shows the upstream as cold. The remaining time counts from when the upstream
-// wrote it, up to seconds ago, so a health check asks the upstream itself. Within a cold time that a health check has
-// found the list tells nothing new. The caller holds the lock.
+// wrote it, up to seconds ago, so a health check asks the upstream itself, also within a cold time that is known: the
+// upstream may have become cold again. The caller holds the lock.
 func (oup *ownUpstream) listedCold(now time.Time, remaining time.Duration) {
-	if oup.checkedInstance == oup.instance && now.Before(oup.checkedColdUntil) {
-		return
+	if until := now.Add(remaining); until.After(oup.coldUntil) {
+		oup.coldUntil = until
+		oup.queue.setCold(until, oup.coldRate)
 	}
-	oup.queue.setCold(now.Add(remaining), oup.coldRate)
 	oup.checkWanted = true
 	oup.events++
 	wake(oup.checkRequested)
@@ -261,12 +260,12 @@
 	}
 	answersAll := events == oup.events
 	if oup.coldRate > 0 && (answersAll || remaining > 0) {
-		oup.queue.setCold(now.Add(remaining), oup.coldRate)
+		oup.coldUntil = now.Add(remaining)
+		oup.queue.setCold(oup.coldUntil, oup.coldRate)
 	}
 	if oup.coldRate > 0 && remaining == 0 {
 		oup.queue.confirm(sent)
 	}
-	oup.checkedInstance, oup.checkedColdUntil = hea.Instance(), now.Add(remaining)
 	// Checks that only confirm a warm upstream are too many for the log.
 	awaited := oup.checkPending || oup.checkWanted
 	if answersAll {
