Count calls to a cold upstream when they are sent, not at their slot

Cause: the scheduler recorded a call at the moment when it got its slot. The call reaches the upstream later, after a dial or a wait for a processor. Calls that were held up on the way counted in one second and arrived in the next one, beside those that got their slots there.

Change: a call that has a slot and has not been sent counts as if it were sent now, so the calls sent within the last second and those still to be sent stay within the rate together. The client of the upstream reports a call after the write of its head, not before: a call that is delayed just before the write would otherwise count too early again. A call that ends without having been sent, as after a refused connection, no longer uses up the rate. With a client that reports nothing, a call counts from its slot until its release, and as sent at its release. The log field sent_last_s counts calls that were sent as well. The calls that a health check allows while the upstream is unconfirmed are counted at their slot as before, but those not yet sent when its answer arrives are taken off.

TestDelayedCallsToColdUpstream printed before:

30 calls reached the cold upstream in the second from 2000-01-01 00:00:01.6 +0000 UTC on, want at most 15

It passes now.

--- a/core/call.go
+++ b/core/call.go
@@ -105,6 +105,7 @@
 	entryRank           int
 	isRetry             bool
 	teamLoad            float64
+	onSent              func() // nil when nobody is told
 }
 
 // CallSpec lists the fields of a new Call.
@@ -217,6 +218,20 @@
 	return &attempt
 }
 
+// OnSent returns the call with a function that ReportSent calls.
+func (cal *Call) OnSent(sent func()) *Call {
+	attempt := *cal
+	attempt.onSent = sent
+	return &attempt
+}
+
+// ReportSent reports that the head of the call has been written to the upstream.
+func (cal *Call) ReportSent() {
+	if cal.onSent != nil {
+		cal.onSent()
+	}
+}
+
 // Feedback is what an answer reports to the calling node about the chain of calls that produced it.
 type Feedback struct {
 	retryBudget          int
--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -266,3 +266,58 @@
 		}
 	})
 }
+
+// delayingUpstream is a cold upstream whose client holds calls up between their slot and their arrival, as a dial or a busy
+// processor does, within a second of the first.
+type delayingUpstream struct {
+	coldUpstream
+	firstCall time.Time
+}
+
+func (dup *delayingUpstream) serve(ctx context.Context, call *core.Call) (*core.Answer, error) {
+	dup.mut.Lock()
+	if dup.firstCall.IsZero() {
+		dup.firstCall = time.Now()
+	}
+	heldUp := time.Since(dup.firstCall) < time.Second
+	dup.mut.Unlock()
+	if heldUp {
+		time.Sleep(600 * time.Millisecond)
+	}
+	ans, err := dup.coldUpstream.serve(ctx, call)
+	call.ReportSent()
+	return ans, err
+}
+
+// reportingEnv is a fakeEnv whose upstream reports the calls that it has sent.
+type reportingEnv struct{ *fakeEnv }
+
+func (reportingEnv) ReportsSent() bool { return true }
+
+// Guards against counting calls to a cold upstream in the second of their slot although they arrive in the next one.
+func TestDelayedCallsToColdUpstream(t *testing.T) {
+	tests := []struct {
+		name     string
+		upstream func(*fakeEnv) core.CheckedUpstream
+	}{
+		{"reports what it has sent", func(env *fakeEnv) core.CheckedUpstream { return reportingEnv{env} }},
+		{"reports nothing", func(env *fakeEnv) core.CheckedUpstream { return env }},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dup := &delayingUpstream{}
+				dup.becomeCold(5 * time.Second)
+				env := &fakeEnv{upstream: dup.serve, health: dup.health, sna: coldSnapshot(t, 5, false, 0)}
+				prx := newProxyWith(t, env, env, tst.upstream(env))
+				stop := runUntilStopped(t, prx)
+				answered := sendCalls(t, prx, 200, 4*time.Second)
+				stop()
+				dup.checkArrivals(t)
+				if answered < 2*coldRate { // no call is sent in the first second, and those of the second one are held up
+					t.Errorf("%d calls were answered, want at least two seconds of the declared rate, which are %d", answered, 2*coldRate)
+				}
+			})
+		})
+	}
+}
--- a/core/coordination/proxy/proxy_test.go
+++ b/core/coordination/proxy/proxy_test.go
@@ -166,12 +166,17 @@
 }
 
 func newProxyWithPeers(t *testing.T, env *fakeEnv, peers core.Peers) *proxy.Proxy {
+	t.Helper()
+	return newProxyWith(t, env, peers, env)
+}
+
+func newProxyWith(t *testing.T, env *fakeEnv, peers core.Peers, upstream core.CheckedUpstream) *proxy.Proxy {
 	t.Helper()
 	if env.sna == nil {
 		env.sna = snapshot(t, 5, false, false)
 	}
 	prx := proxy.New(proxy.Settings{
-		Host: localHost, Domain: "a", Service: "orders", Peers: peers, Upstream: env, Observer: env, EventLog: env,
+		Host: localHost, Domain: "a", Service: "orders", Peers: peers, Upstream: upstream, Observer: env, EventLog: env,
 		Snapshot: func() *decl.Snapshot { return env.sna }, Rand: rand.New(rand.NewPCG(1, 2)), RetryShare: 10,
 	})
 	prx.SetSnapshot(env.sna)
--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -125,6 +125,13 @@
 	return nil
 }
 
+// markSent records that a call that holds a slot has been sent to the upstream.
+func (que *upstreamQueue) markSent(tsk *sched.Task) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.scheduler.MarkSent(que.clock.Now(), tsk)
+}
+
 // release frees the slot of a call that held it for the elapsed time.
 func (que *upstreamQueue) release(tsk *sched.Task, elapsed time.Duration, res sched.Result) {
 	que.mut.Lock()
@@ -285,7 +292,7 @@
 	que.scheduler.CheckFailed()
 }
 
-// sentLastSecond returns how many calls were given a slot within the last second.
+// sentLastSecond returns how many calls were sent within the last second.
 func (que *upstreamQueue) sentLastSecond() int {
 	que.mut.Lock()
 	defer que.mut.Unlock()
--- a/core/coordination/proxy/serve.go
+++ b/core/coordination/proxy/serve.go
@@ -46,7 +46,7 @@
 	quc := &queuedCall{ready: make(chan struct{})}
 	tsk := sched.NewTask(sched.TaskSpec{
 		Class: call.Class(), IsRoot: !call.Nested(), Rank: call.EntryRank(), TargetLatency: call.TargetLatency(),
-		Deadline: call.Deadline(), Team: call.Team(), TeamLoad: call.TeamLoad(), Value: quc,
+		Deadline: call.Deadline(), Team: call.Team(), TeamLoad: call.TeamLoad(), ReportsSent: true, Value: quc,
 	})
 	arrived := prx.clock.Now()
 	if err := prx.queue.acquire(ctx, tsk, quc); err != nil {
@@ -64,7 +64,7 @@
 		slo.run.work = prx.ownWork.begin(slo.start, kin)
 	}
 	prx.running.add(slo.run)
-	ans, err := prx.settings.Upstream.Do(ctx, call, call.AttemptID())
+	ans, err := prx.settings.Upstream.Do(ctx, call.OnSent(slo.sent), call.AttemptID())
 	if err != nil {
 		slo.release(schedResult(core.AsRefusal(err)))
 		if core.AsRefusal(err).Reason() == core.ReasonWrongInstance {
@@ -134,9 +134,15 @@
 	return fee.WithNestedNoRoom(run.noRoom.Load()).WithQueuedFor(run.queuedFor + run.waits.queuedFor())
 }
 
+// sent records that the call has been sent to the upstream.
+func (slo *heldSlot) sent() { slo.proxy.queue.markSent(slo.task) }
+
 // release frees the slot; only the first release has an effect.
 func (slo *heldSlot) release(res sched.Result) {
 	slo.once.Do(func() {
+		if rep, ok := slo.proxy.settings.Upstream.(core.SendReporter); !ok || !rep.ReportsSent() {
+			slo.sent() // it is not known whether and when the call was sent
+		}
 		slo.proxy.running.remove(slo.run)
 		slo.proxy.ownWork.end(slo.proxy.clock.Now(), slo.run.work, res)
 		if until := slo.run.dependencyColdUntil(); res == sched.Failed && until.After(slo.proxy.clock.Now()) {
--- a/core/ports.go
+++ b/core/ports.go
@@ -20,6 +20,14 @@
 	Do(ctx context.Context, call *Call, callToken string) (*Answer, error)
 }
 
+// SendReporter is an upstream that can report which calls it has sent.
+type SendReporter interface {
+	Upstream
+	// ReportsSent reports whether Do calls Call.ReportSent once the head of a call has been written, and not for a call that
+	// was not sent.
+	ReportsSent() bool
+}
+
 // Health is an upstream's answer to a health check.
 type Health struct {
 	instance      string
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -236,7 +236,8 @@
 }
 
 // coldLimiter bounds the requests to a cold upstream in any one second, and among them the nested calls while root
-// requests arrive. It records sends at all times, because an upstream may have become cold before that is known.
+// requests arrive. It records sends at all times, because an upstream may have become cold before that is known. A call that
+// has a slot and has not been sent may be sent at any time, so it counts as if it were sent now.
 //
 // While it is not confirmed that the upstream is warm, it is limited in the same way, but each health check that finds it
 // warm allows further calls: as many as a cold upstream may get in one second, less those sent since the check began. So it
@@ -250,7 +251,7 @@
 
 	unconfirmed bool
 	checksFail  bool   // the latest health check has not found the upstream warm
-	sent        uint64 // calls sent in all
+	sent        uint64 // calls given a slot in all
 	credit      int    // calls that the latest health check still allows while unconfirmed
 }
 
@@ -258,6 +259,7 @@
 type sendLog struct {
 	sentAt []time.Time
 	oldest int // index of the oldest send time
+	unsent int // calls that have a slot and have not been sent
 }
 
 // setRate sets the requests per second that are allowed while the upstream is cold.
@@ -281,8 +283,10 @@
 	slo.sentAt, slo.oldest = after, 0
 }
 
-// allows reports whether fewer requests than allowed were sent within the last second.
-func (slo *sendLog) allows(now time.Time) bool { return now.Sub(slo.sentAt[slo.oldest]) >= time.Second }
+// allows reports whether fewer requests than allowed were sent within the last second or have a slot and will be.
+func (slo *sendLog) allows(now time.Time) bool {
+	return slo.unsent < len(slo.sentAt) && now.Sub(slo.sentAt[(slo.oldest+slo.unsent)%len(slo.sentAt)]) >= time.Second
+}
 
 func (slo *sendLog) record(now time.Time) {
 	if len(slo.sentAt) > 0 {
@@ -307,6 +311,7 @@
 // delay returns the time until a call may be sent that has the given number of others ahead of it. Beyond the requests
 // of one second, and while nested calls may use only a part of the rate, it is a lower bound.
 func (col *coldLimiter) delay(now time.Time, ahead int) time.Duration {
+	ahead += col.all.unsent
 	if ahead >= len(col.all.sentAt) {
 		return time.Second
 	}
@@ -327,7 +332,8 @@
 // confirm records that a health check found the upstream warm, which began when the given number of calls had been sent.
 func (col *coldLimiter) confirm(sentBefore uint64) {
 	col.checksFail = false
-	col.credit = max(len(col.all.sentAt)-int(col.sent-sentBefore), 0) //nolint:gosec // calls sent during one check
+	sentSince := int(col.sent - sentBefore) //nolint:gosec // calls sent during one check
+	col.credit = max(len(col.all.sentAt)-sentSince-col.all.unsent, 0)
 }
 
 // needsCheck reports whether another health check is due to allow further calls.
@@ -335,12 +341,24 @@
 	return col.unconfirmed && !now.Before(col.until) && 2*col.credit <= len(col.all.sentAt)
 }
 
-// record counts a call that is sent now.
-func (col *coldLimiter) record(now time.Time, isRoot bool) {
+// grant counts a call that gets a slot.
+func (col *coldLimiter) grant() {
 	col.sent++
 	col.credit = max(col.credit-1, 0)
+}
+
+// record counts a call that is sent now.
+func (col *coldLimiter) record(now time.Time, isRoot bool) {
 	col.all.record(now)
 	if !isRoot {
 		col.nested.record(now)
 	}
 }
+
+// addUnsent changes how many calls have a slot and have not been sent.
+func (col *coldLimiter) addUnsent(count int, isRoot bool) {
+	col.all.unsent += count
+	if !isRoot {
+		col.nested.unsent += count
+	}
+}
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -72,7 +72,8 @@
 	Rank          int           // rank of the class; 0 is the most important
 	TargetLatency time.Duration // target latency of the class
 	Deadline      time.Time
-	Value         any // opaque to the scheduler
+	ReportsSent   bool // MarkSent is called once the call has been sent; otherwise it counts as sent when it gets its slot
+	Value         any  // opaque to the scheduler
 }
 
 // Task is one call to the upstream.
@@ -82,6 +83,7 @@
 	maxWait    time.Duration
 	queueIndex int // in the heap; -1 when not queued
 	holdsSlot  bool
+	unsent     bool          // it has a slot and has not been sent
 	slotAt     time.Time     // when it got its slot
 	ownWait    time.Duration // in the queue of this host
 	nestedWait time.Duration // of nested calls in queues
@@ -249,7 +251,7 @@
 	return max(sch.cold.delay(now, 0), 0)
 }
 
-// SentLastSecond returns how many calls were given a slot within the last second.
+// SentLastSecond returns how many calls were sent within the last second.
 func (sch *Scheduler) SentLastSecond(now time.Time) int { return sch.sent.total(now) }
 
 // InFlight returns how many slots are taken.
@@ -353,9 +355,36 @@
 		sch.class(tas.spec).countBegun(now)
 	}
 	sch.inFlight++
+	tas.holdsSlot, tas.slotAt = true, now
+	sch.cold.grant()
+	if tas.spec.ReportsSent {
+		tas.unsent = true
+		sch.cold.addUnsent(1, tas.spec.IsRoot)
+	} else {
+		sch.countSent(now, tas)
+	}
+}
+
+// MarkSent records that a call that holds a slot has been sent. The call must have reached the upstream by then, or the cold
+// rate is exceeded by calls that are delayed between the two.
+func (sch *Scheduler) MarkSent(now time.Time, tas *Task) {
+	if tas.unsent {
+		sch.endUnsent(tas)
+		sch.countSent(now, tas)
+	}
+}
+
+func (sch *Scheduler) countSent(now time.Time, tas *Task) {
 	sch.cold.record(now, tas.spec.IsRoot)
 	sch.sent.record(now)
-	tas.holdsSlot, tas.slotAt = true, now
+}
+
+// endUnsent stops counting a call as one that may be sent at any time.
+func (sch *Scheduler) endUnsent(tas *Task) {
+	if tas.unsent {
+		tas.unsent = false
+		sch.cold.addUnsent(-1, tas.spec.IsRoot)
+	}
 }
 
 // Remove takes a call out of the queue and reports whether it was queued.
@@ -374,6 +403,7 @@
 		return
 	}
 	tas.holdsSlot = false
+	sch.endUnsent(tas)
 	sch.inFlight--
 	if res == Success {
 		sch.serviceTime += time.Duration(serviceTimeWeight * float64(elapsed-sch.serviceTime))
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -145,6 +145,47 @@
 	}
 }
 
+// Guards against counting calls in the second of their slot although they are sent later, and against calls that were never
+// sent and use up the cold rate.
+func TestColdRateOfUnsentCalls(t *testing.T) {
+	const perSecond = 3 // 1.5 times the declared rate
+	sch := sched.New(100)
+	sch.SetCold(start.Add(10*time.Second), 2)
+	var admitted []*sched.Task
+	// fill admits calls until one is refused and returns how many got a slot.
+	fill := func(now time.Time) int {
+		count := 0
+		for ; ; count++ {
+			tas := sched.NewTask(sched.TaskSpec{
+				Class: "confirm", IsRoot: true, TargetLatency: target, Deadline: now.Add(5 * time.Second), ReportsSent: true,
+			})
+			if dec := sch.Admit(now, tas); dec != sched.Admitted {
+				if dec != sched.UpstreamCold {
+					t.Errorf("a call beyond the cold rate got %v, want cold", dec)
+				}
+				return count
+			}
+			admitted = append(admitted, tas)
+		}
+	}
+	type counts struct{ AtOnce, WhileUnsent, AfterSent, AfterUnsentEnded, SecondLater int }
+	var got counts
+	got.AtOnce = fill(start)
+	got.WhileUnsent = fill(start.Add(1500 * time.Millisecond))
+	sentAt := start.Add(1600 * time.Millisecond)
+	sch.MarkSent(sentAt, admitted[0])
+	sch.MarkSent(sentAt.Add(time.Millisecond), admitted[0])
+	got.AfterSent = fill(sentAt.Add(999 * time.Millisecond))
+	sch.Release(sentAt.Add(999*time.Millisecond), admitted[1], time.Second, sched.Cancelled)
+	sch.Release(sentAt.Add(999*time.Millisecond), admitted[0], time.Second, sched.Success)
+	got.AfterUnsentEnded = fill(sentAt.Add(999 * time.Millisecond))
+	got.SecondLater = fill(sentAt.Add(time.Second))
+	want := counts{AtOnce: perSecond, AfterUnsentEnded: 1, SecondLater: 1}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("calls that got a slot (-want +got):\n%s", diff)
+	}
+}
+
 // Replays the seconds after a loss of power: all services are cold, root requests that need only this service arrive
 // beside the nested calls of others, of which each needs several and mostly fails. The nested calls, which may be queued,
 // used the whole cold rate.
--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -41,7 +41,7 @@
 	Dialect core.UpstreamDialect
 }
 
-// Client sends calls to the upstream; it implements core.CheckedUpstream.
+// Client sends calls to the upstream; it implements core.CheckedUpstream and core.SendReporter.
 type Client struct {
 	base           *url.URL
 	pool           *pool
@@ -51,7 +51,10 @@
 	detector       crashDetector
 }
 
-var _ core.CheckedUpstream = (*Client)(nil)
+var (
+	_ core.CheckedUpstream = (*Client)(nil)
+	_ core.SendReporter    = (*Client)(nil)
+)
 
 // BaseURLError reports a base URL of the upstream that cannot be used.
 type BaseURLError struct{ base string }
@@ -169,6 +172,9 @@
 	return ans, nil
 }
 
+// ReportsSent returns true.
+func (*Client) ReportsSent() bool { return true }
+
 // expiredDeadline is a time in the past; set as a connection's deadline it unblocks pending reads and writes.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -263,6 +269,9 @@
 func (att *attempt) write(request []byte) error {
 	att.wrote = true // a write that fails after some bytes may have reached the upstream
 	got, err := att.con.Write(request)
+	if got > 0 {
+		att.call.ReportSent()
+	}
 	if err != nil {
 		att.wrote = got > 0
 		return err
--- a/io/transport/back/back_test.go
+++ b/io/transport/back/back_test.go
@@ -125,6 +125,40 @@
 	}
 }
 
+// Guards against calls that count against the rate of a cold upstream without having been sent, and against sent ones that
+// do not count.
+func TestSentCallsAreReported(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
+		rsw.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = lis.Close()
+	tests := []struct {
+		name, baseURL, path string
+		want                int
+	}{
+		{"answered", srv.URL, "/", 1},
+		{"invalid path", srv.URL, "a b", 0},
+		{"connection refused", "http://" + lis.Addr().String(), "/", 0},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			got := 0
+			call := core.NewCall(core.CallSpec{
+				Root: core.NewRoot(core.RootSpec{Deadline: time.Now().Add(testTimeout)}), Method: http.MethodGet, Path: tst.path,
+			})
+			_, _ = do(t.Context(), newClient(t, back.Settings{BaseURL: tst.baseURL}), call.OnSent(func() { got++ }))
+			if diff := cmp.Diff(tst.want, got); diff != "" {
+				t.Errorf("reports of a sent call (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // The upstream must get the call token and the remaining time. It must not get the caller's key, a token that the
 // caller forged or hop-by-hop headers; the caller must not get reserved headers that the upstream set.
 func TestRequestHeaders(t *testing.T) {
