Notice a restart of an upstream between two calls

A restart that closes only idle connections went unnoticed: the next call opened another connection, and until the host list showed the restart the cold upstream got all calls. An idle connection that the upstream has closed is now reported as lost, so that its health is checked. Health checks open a connection of their own instead of taking an idle one, which they closed afterwards.

TestClosedIdleConnectionIsReported fails without the report.

--- a/io/transport/back/back.go
+++ b/io/transport/back/back.go
@@ -97,10 +97,10 @@
 // errMismatchedHealth reports that the answers to calls arrived in place of the answer to a health check.
 var errMismatchedHealth = errors.New("the upstream answered calls in place of the health check")
 
-// Health sends a health check to a path of the upstream, over a connection of the pool. Late second answers to calls may
-// come first; they are skipped.
+// Health sends a health check to a path of the upstream, over a connection of its own: its answer names no call, so that a
+// late second one could be taken for that of the next health check.
 func (cli *Client) Health(ctx context.Context, path string) (core.Health, error) {
-	con, err := cli.pool.get(ctx, true)
+	con, err := cli.pool.open(ctx)
 	if err != nil {
 		return core.Health{}, err
 	}
--- a/io/transport/back/back_test.go
+++ b/io/transport/back/back_test.go
@@ -396,6 +396,28 @@
 	}
 }
 
+// Guards against a restart of the upstream between two calls that is not noticed, because the next call opens another
+// connection.
+func TestClosedIdleConnectionIsReported(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	var losses atomic.Int64
+	cli := newClient(t, back.Settings{BaseURL: srv.URL, OnConnLost: func() { losses.Add(1) }})
+	for range 2 {
+		res, err := do(t.Context(), cli, newCall(http.MethodGet, "", testTimeout, nil))
+		checkResult(t, res, back.ResultAnswered, err, "", core.OutcomeUnknown)
+		if losses.Load() > 0 {
+			t.Fatal("a connection was reported as lost while the upstream kept it open")
+		}
+	}
+	srv.CloseClientConnections()
+	res, err := do(t.Context(), cli, newCall(http.MethodGet, "", testTimeout, nil))
+	checkResult(t, res, back.ResultAnswered, err, "", core.OutcomeUnknown)
+	if diff := cmp.Diff(int64(1), losses.Load()); diff != "" {
+		t.Errorf("reported lost connections (-want +got):\n%s", diff)
+	}
+}
+
 type failingReader struct{ err error }
 
 func (fre failingReader) Read([]byte) (int, error) { return 0, fre.err }
--- a/io/transport/back/conn.go
+++ b/io/transport/back/conn.go
@@ -44,6 +44,7 @@
 	addr        string
 	dialer      net.Dialer
 	idleTimeout time.Duration
+	onConnLost  func()        // called for an idle connection that the upstream has closed
 	inUse       chan struct{} // semaphore with one element for each connection in use
 	mut         sync.Mutex
 	idle        []*conn // ordered by the time of last use, latest last
@@ -54,7 +55,7 @@
 
 func newPool(addr string, set Settings) *pool {
 	return &pool{
-		addr: addr, dialer: net.Dialer{Timeout: set.DialTimeout}, idleTimeout: set.IdleTimeout,
+		addr: addr, dialer: net.Dialer{Timeout: set.DialTimeout}, idleTimeout: set.IdleTimeout, onConnLost: set.OnConnLost,
 		inUse: make(chan struct{}, max(set.MaxConnections, 1)),
 	}
 }
@@ -103,6 +104,21 @@
 	if con := pol.takeIdle(idempotent); con != nil {
 		return con, nil
 	}
+	return pol.dial(ctx)
+}
+
+// open opens a connection. It waits while the maximum of connections is in use.
+func (pol *pool) open(ctx context.Context) (*conn, error) {
+	select {
+	case pol.inUse <- struct{}{}:
+		return pol.dial(ctx)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial opens a connection that inUse counts already.
+func (pol *pool) dial(ctx context.Context) (*conn, error) {
 	raw, err := pol.dialer.DialContext(ctx, "tcp", pol.addr)
 	if err != nil {
 		<-pol.inUse
@@ -135,11 +151,15 @@
 			idleLimit = min(idleLimit, pol.reuseLimit)
 		}
 		pol.mut.Unlock()
-		if now.Sub(con.idleSince) < idleLimit && con.openAndSilent() {
+		open := con.openAndSilent()
+		if open && now.Sub(con.idleSince) < idleLimit {
 			con.reused = true
 			return con
 		}
 		_ = con.Close()
+		if !open {
+			pol.onConnLost()
+		}
 	}
 }
 
