Send nothing to a cold upstream in the last millisecond of its cold time

An upstream tells its cold time in whole milliseconds.

A cold time counts for 10 ms longer than told.

TestEndOfColdTime failed before: 17 calls reached the cold upstream in the second, want at most 15.

--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -16,6 +16,9 @@
 	// After that they are sent without one, but not faster than to a cold upstream, if the host list has this host and the
 	// upstream is not known to be down.
 	unknownHealthTimeout = time.Second
+	// coldMargin is added to a cold time: it is told in whole milliseconds, and a call that is sent as it ends arrives while the
+	// upstream is cold if the time was rounded down. All queued calls are sent then.
+	coldMargin = 10 * time.Millisecond
 	// unavailableLatency is the expected latency that a host reports while its upstream takes no calls.
 	unavailableLatency = 5 * time.Second
 )
@@ -109,7 +112,7 @@
 // wrote it, up to seconds ago, so a health check asks the upstream itself, also within a cold time that is known: the
 // upstream may have become cold again. The caller holds the lock.
 func (oup *ownUpstream) listedCold(now time.Time, remaining time.Duration) {
-	if until := now.Add(remaining); until.After(oup.coldUntil) {
+	if until := now.Add(remaining + coldMargin); until.After(oup.coldUntil) {
 		oup.coldUntil = until
 		oup.queue.setCold(until, oup.coldRate)
 	}
@@ -259,6 +262,9 @@
 	}
 	now := oup.clock.Now()
 	remaining := hea.ColdRemaining()
+	if remaining > 0 {
+		remaining += coldMargin
+	}
 	if hea.Instance() != "" {
 		oup.settings.Upstream.PinInstance(hea.Instance())
 	}
