Treat each event that may make an upstream cold alike

Some events counted for nothing or not for as long as others: the end of a time in which the node may have missed an evacuation; an event while the health check for an earlier one was unanswered; a host that is listed again or with another instance; a cold rate that is declared after the check; an outage longer than the cold duration; and a check that began before the host list showed a second cold time could shorten that.

Each of them is an event now, whose time is kept: the upstream is unconfirmed until a check that began after the latest event is answered, or for the declared cold duration. What the host list says is checked at once instead of after 100 ms.

--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -24,8 +24,10 @@
 )
 
 // ownUpstream holds what this node knows of the upstream on its host. The host list lags, so the node sends a health
-// check to the upstream after each event that may have replaced it or made it cold: the start of the node, the loss of
-// all connections, an answer of another instance, and the return of the failure domain to service.
+// check to the upstream after each event that may have replaced it or made it cold. After the start of the node, the loss of
+// all connections, an answer of another instance, and the return of the failure domain to service, calls are refused until
+// then, for a while. After the loss of one connection, a change of the list, and while or after the node may miss an
+// evacuation, they are limited.
 type ownUpstream struct {
 	settings Settings
 	clock    core.Clock
@@ -47,9 +49,9 @@
 	checkRejected  bool          // since checkPending was set, the upstream has refused one as it refuses calls
 	checkRequested chan struct{} // wakes runHealthChecks after healthInterval
 	confirmDue     chan struct{} // wakes runHealthChecks at once
-	events         int           // that made a health check due or wanted; an earlier check does not answer for them
+	events         int           // that may have made the upstream cold; a check answers for those before its start
 	pendingSince   time.Time     // when checkPending was set
-	lostAt         time.Time     // when a connection was lost, if no health check has succeeded since then; else zero
+	lastEvent      time.Time     // latest event that may have made the upstream cold; zero once a check answers for all
 	mayBeEvacuated bool          // the failure domain may be out of service without this node's knowledge
 	down           bool          // all connections were lost, and no health check has succeeded since then
 }
@@ -57,7 +59,7 @@
 func newOwnUpstream(set Settings, clo core.Clock, que *upstreamQueue) *ownUpstream {
 	oup := &ownUpstream{
 		settings: set, clock: clo, queue: que, checkPending: true, pendingSince: clo.Now(),
-		checkRequested: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1),
+		checkRequested: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1), lastEvent: clo.Now(),
 	}
 	que.checkDue = func() { wake(oup.confirmDue) }
 	return oup
@@ -76,6 +78,9 @@
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
 	if ser := sna.Service(oup.settings.Service); ser != nil {
+		if oup.coldRate == 0 && ser.ColdRate() > 0 {
+			oup.recordEvent(now) // what checks have said so far was not applied
+		}
 		oup.healthPath, oup.coldRate, oup.coldDuration = ser.HealthPath(), ser.ColdRate(), ser.ColdDuration()
 		if oup.coldRate > 0 {
 			oup.queue.setColdRate(oup.coldRate)
@@ -87,9 +92,13 @@
 		oup.requireCheck(now, "evacuation ended")
 	}
 	oup.domainOut = domainOut
-	oup.updateConfirmation(now)
 	hos := sna.Hosts().Host(oup.settings.Host)
+	wasListed := oup.listed
 	oup.listed = hos != nil && hos.Service() == oup.settings.Service
+	if oup.listed && (!wasListed || hos.Instance() != oup.instance) {
+		oup.recordEvent(now)
+	}
+	oup.updateConfirmation(now)
 	if !oup.listed {
 		return
 	}
@@ -117,8 +126,9 @@
 		oup.queue.setCold(until, oup.coldRate)
 	}
 	oup.checkWanted = true
-	oup.events++
-	wake(oup.checkRequested)
+	oup.recordEvent(now)
+	oup.updateConfirmation(now)
+	wake(oup.confirmDue)
 	oup.settings.EventLog.Note("upstream cold", "", map[string]any{
 		"instance": oup.instance, "for_ms": remaining.Milliseconds(), "version": oup.coldVersion, "sent_last_s": oup.queue.sentLastSecond(),
 	})
@@ -126,15 +136,21 @@
 
 // requireCheck makes a health check due. The caller holds the lock.
 func (oup *ownUpstream) requireCheck(now time.Time, reason string) {
-	oup.events++
+	oup.recordEvent(now)
+	oup.updateConfirmation(now)
 	if !oup.checkPending {
 		oup.checkPending, oup.checkRejected, oup.pendingSince = true, false, now
-		oup.updateConfirmation(now)
 		wake(oup.checkRequested)
 		oup.settings.EventLog.Note("upstream asked for its health", "", map[string]any{"why": reason, "sent_last_s": oup.queue.sentLastSecond()})
 	}
 }
 
+// recordEvent records an event that may have made the upstream cold. The caller holds the lock and calls updateConfirmation.
+func (oup *ownUpstream) recordEvent(now time.Time) {
+	oup.events++
+	oup.lastEvent = now
+}
+
 // setMayBeEvacuated sets whether the failure domain may be out of service without this node's knowledge. Upstreams get
 // cold while their failure domain is out of service.
 func (oup *ownUpstream) setMayBeEvacuated(mayBe bool) {
@@ -144,19 +160,17 @@
 		return
 	}
 	oup.mayBeEvacuated = mayBe
-	oup.updateConfirmation(oup.clock.Now())
+	now := oup.clock.Now()
+	oup.recordEvent(now) // at the end too: an evacuation may have begun and ended meanwhile
+	oup.updateConfirmation(now)
 	oup.settings.EventLog.Note("configuration may be missed", "", map[string]any{"may_be": mayBe, "sent_last_s": oup.queue.sentLastSecond()})
 }
 
-// updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. An event that
-// requires a check leaves it cold for coldDuration at most. The caller holds the lock.
+// updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. After the latest
+// event it stays cold for coldDuration at most. The caller holds the lock.
 func (oup *ownUpstream) updateConfirmation(now time.Time) {
-	since := oup.lostAt
-	if oup.checkPending && oup.pendingSince.After(since) {
-		since = oup.pendingSince
-	}
-	mayBeCold := oup.mayBeEvacuated || !since.IsZero() && (oup.coldDuration == 0 || now.Sub(since) < oup.coldDuration)
-	oup.queue.setUnconfirmed(mayBeCold && oup.coldRate > 0 && oup.healthPath != "")
+	sinceEvent := !oup.lastEvent.IsZero() && (oup.coldDuration == 0 || now.Sub(oup.lastEvent) < oup.coldDuration)
+	oup.queue.setUnconfirmed((oup.mayBeEvacuated || sinceEvent) && oup.coldRate > 0 && oup.healthPath != "")
 }
 
 // connectionsLost records that the upstream does not listen or that all connections to it were lost.
@@ -175,9 +189,9 @@
 func (oup *ownUpstream) connectionLost() {
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
-	oup.events++
-	oup.lostAt = oup.clock.Now()
-	oup.updateConfirmation(oup.lostAt)
+	now := oup.clock.Now()
+	oup.recordEvent(now)
+	oup.updateConfirmation(now)
 }
 
 // refusal returns why no call may be sent to the upstream now, or nil if calls may be sent.
@@ -222,7 +236,10 @@
 		case <-timer.C:
 		}
 		path, pending := oup.pendingCheck()
-		answered := pending && path != "" && oup.checkHealth(ctx, path)
+		if !pending {
+			continue
+		}
+		answered := path != "" && oup.checkHealth(ctx, path)
 		if _, pending = oup.pendingCheck(); !pending {
 			continue
 		}
@@ -255,6 +272,9 @@
 	defer oup.mut.Unlock()
 	if err != nil || hea.Rejected() {
 		if err == nil {
+			if oup.down { // it may have started at any time until now
+				oup.recordEvent(oup.clock.Now())
+			}
 			oup.checkRejected, oup.down = true, false
 		}
 		oup.queue.checkFailed()
@@ -270,7 +290,9 @@
 	}
 	answersAll := events == oup.events
 	if oup.coldRate > 0 && (answersAll || remaining > 0) {
-		oup.coldUntil = now.Add(remaining)
+		if until := now.Add(remaining); answersAll || until.After(oup.coldUntil) {
+			oup.coldUntil = until
+		}
 		oup.queue.setCold(oup.coldUntil, oup.coldRate)
 	}
 	if oup.coldRate > 0 && remaining == 0 {
@@ -279,7 +301,7 @@
 	// Checks that only confirm a warm upstream are too many for the log.
 	awaited := oup.checkPending || oup.checkWanted
 	if answersAll {
-		oup.checkPending, oup.checkWanted, oup.down, oup.lostAt = false, false, false, time.Time{}
+		oup.checkPending, oup.checkWanted, oup.down, oup.lastEvent = false, false, false, time.Time{}
 	}
 	oup.updateConfirmation(now)
 	if !awaited && remaining == 0 {
