--- a/stand/crowd/crowd_test.go
+++ b/stand/crowd/crowd_test.go
@@ -40,19 +40,29 @@
 	grp    sync.WaitGroup
 }
 
-func startCrowd(t *testing.T, addr string, count int, play caller) *crowd {
+// part is a number of callers of one kind at one port.
+type part struct {
+	addr  string
+	count int
+	pause time.Duration // after a connection has ended
+	play  caller
+}
+
+func startCrowd(t *testing.T, parts []part) *crowd {
 	ctx, cancel := context.WithCancel(t.Context())
 	crw := &crowd{cancel: cancel}
-	for num := range count {
-		crw.grp.Go(func() {
-			for ctx.Err() == nil {
-				callOnce(ctx, addr, num, play)
-				select {
-				case <-ctx.Done():
-				case <-time.After(redialPause):
+	for _, prt := range parts {
+		for num := range prt.count {
+			crw.grp.Go(func() {
+				for ctx.Err() == nil {
+					callOnce(ctx, prt.addr, num, prt.play)
+					select {
+					case <-ctx.Done():
+					case <-time.After(prt.pause):
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 	return crw
 }
@@ -78,12 +88,18 @@
 	}
 }
 
-// playAndCheck runs a crowd against a node and checks that the node lives, keeps to its limits, and answers an ordinary
-// request while the crowd is there and after it has left.
+// playAndCheck runs a crowd at the port for callers and checks the node as playPartsAndCheck does.
 func playAndCheck(nod *node, count int, play caller) {
+	nod.t.Helper()
+	playPartsAndCheck(nod, part{nod.ingress, count, redialPause, play})
+}
+
+// playPartsAndCheck runs a crowd against a node and checks that the node lives, keeps to its limits, and answers an ordinary
+// request while the crowd is there and after it has left.
+func playPartsAndCheck(nod *node, parts ...part) {
 	nod.t.Helper()
 	nod.awaitAnswer("before the crowd")
-	crw := startCrowd(nod.t, nod.ingress, count, play)
+	crw := startCrowd(nod.t, parts)
 	defer crw.end()
 	descriptors := 0
 	for start := time.Now(); time.Since(start) < playTime; time.Sleep(pollInterval) {
--- a/stand/crowd/host_test.go
+++ b/stand/crowd/host_test.go
@@ -20,9 +20,11 @@
 
 const (
 	hostIP      = "127.77.0.1" // other tests of this project use other addresses
+	farIP       = "127.77.0.2" // of a host whose upstream answers calls of the first one
 	routeHost   = "shop.example"
 	teamKey     = "verona-key"
 	serviceName = "stock"
+	farName     = "depot"
 
 	readyTimeout  = 30 * time.Second
 	maxStarts     = 5
@@ -30,6 +32,10 @@
 	pollInterval  = 100 * time.Millisecond
 	largeAnswer   = 4 << 20
 	middlingBytes = 60 << 10 // of an answer that nodes still buffer whole
+
+	upstreamConnections = 60
+	upstreamSlots       = 20
+	farConnections      = 400 // also the slots of that upstream, which more callers may use than the node's limits allow
 )
 
 var program string
@@ -72,9 +78,9 @@
 	return lbu.buf.String()
 }
 
-// serveStore answers the calls with which nodes read the platform's store: one configuration and one upstream, which do not
-// change.
-func serveStore(upstream string) http.Handler {
+// serveStore answers the calls with which nodes read the platform's store: one configuration, one upstream, and one of another
+// service unless its address is empty. They do not change.
+func serveStore(upstream, farUpstream string) http.Handler {
 	type item struct {
 		Key      string `json:"key"`
 		Value    []byte `json:"value"`
@@ -87,22 +93,34 @@
 		}
 		return data
 	}
-	route := func(kind string) map[string]any {
+	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
-			"hostname": routeHost, "path_prefix": "/" + kind + "/", "route_type": kind, "timeout_s": 20, "target_latency_s": 1,
-			"priority": 0, "service": serviceName, "max_attempts": 2,
+			"hostname": routeHost, "path_prefix": prefix, "route_type": kind, "timeout_s": 20, "target_latency_s": 1,
+			"priority": 0, "service": service, "max_attempts": 2,
 		}
 	}
+	entry := func(service, address string, slots int) []byte {
+		return encode(map[string]any{
+			"service": service, "address": address, "zone": "a", "version": "v1", "slots": slots, "state": "ready",
+			"cold_remaining_s": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+	}
 	items := []item{
 		{"op/config", encode(map[string]any{
-			"version": "00000001", "routes": map[string]any{"safe": route("safe"), "unsafe": route("unsafe")},
-			"services": map[string]any{serviceName: map[string]any{"health_path": "/health", "max_connections": 60}},
-			"tenants":  map[string]any{"verona": map[string]any{"api_keys": []string{teamKey}, "rate_per_s": 0}},
+			"version": "00000001", "routes": map[string]any{
+				"safe": route("/safe/", "safe", serviceName), "unsafe": route("/unsafe/", "unsafe", serviceName),
+				"far-safe": route("/far/safe/", "safe", farName), "far-unsafe": route("/far/unsafe/", "unsafe", farName),
+			},
+			"services": map[string]any{
+				serviceName: map[string]any{"health_path": "/health", "max_connections": upstreamConnections},
+				farName:     map[string]any{"health_path": "/health", "max_connections": farConnections},
+			},
+			"tenants": map[string]any{"verona": map[string]any{"api_keys": []string{teamKey}, "rate_per_s": 0}},
 		}), 1},
-		{"servers/i-1", encode(map[string]any{
-			"service": serviceName, "address": upstream, "zone": "a", "version": "v1", "slots": 20, "state": "ready",
-			"cold_remaining_s": 0, "sequence": 1, "born": time.Now().UnixMilli(),
-		}), 2},
+		{"servers/i-1", entry(serviceName, upstream, upstreamSlots), 2},
+	}
+	if farUpstream != "" {
+		items = append(items, item{"servers/i-2", entry(farName, farUpstream, farConnections), 3})
 	}
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		query := req.URL.Query()
@@ -127,8 +145,12 @@
 
 // serveUpstream answers requests at once: paths that end with "large" or "middling" with as many bytes, others with the
 // length of the request's body.
-func serveUpstream(wri http.ResponseWriter, req *http.Request) {
-	wri.Header().Set("Instance-Id", "i-1")
+func serveUpstream(wri http.ResponseWriter, req *http.Request) { serveInstance(wri, req, "i-1") }
+
+func serveFarUpstream(wri http.ResponseWriter, req *http.Request) { serveInstance(wri, req, "i-2") }
+
+func serveInstance(wri http.ResponseWriter, req *http.Request, id string) {
+	wri.Header().Set("Instance-Id", id)
 	if req.URL.Path == "/health" {
 		return
 	}
@@ -153,17 +175,19 @@
 	pid     int
 	exited  func() bool
 	ingress string
+	peer    string
 	ready   string // of readiness checks
+	admin   string // of operators
 	// ask sends an ordinary request and returns the status and the body of the answer.
 	ask func() (status int, body string, err error)
 }
 
 // freeAddrs returns addresses that are free and differ from each other.
-func freeAddrs(t *testing.T, count int) []string {
+func freeAddrs(t *testing.T, ip string, count int) []string {
 	t.Helper()
 	addrs := make([]string, count)
 	for num := range addrs {
-		lis, err := net.Listen("tcp", hostIP+":0")
+		lis, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -173,9 +197,9 @@
 	return addrs
 }
 
-func serve(t *testing.T, handler http.Handler) (addr string) {
+func serve(t *testing.T, ip string, handler http.Handler) (addr string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", hostIP+":0")
+	lis, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -186,13 +210,53 @@
 }
 
 // startSidecar starts a sidecar with the lowered limits of these tests beside a stand-in of the store and of an upstream,
-// and waits until it is ready. Another process may take a port in between, so it tries other ports then.
+// and waits until it is ready.
 func startSidecar(t *testing.T) *node {
 	t.Helper()
-	upstream := serve(t, http.HandlerFunc(serveUpstream))
-	store := serve(t, serveStore(upstream))
+	upstream := serve(t, hostIP, http.HandlerFunc(serveUpstream))
+	host := sidecarHost{ip: hostIP, service: serviceName, upstream: upstream, connections: upstreamConnections, memoryMB: memoryMB, maxFiles: maxFiles}
+	host.store = serve(t, hostIP, serveStore(upstream, ""))
+	return host.start(t)
+}
+
+// startSidecarAndFar starts a sidecar as startSidecar does, and one of another host whose limits are not under test. The first
+// one forwards the requests below /far/ to the second.
+func startSidecarAndFar(t *testing.T) *node {
+	t.Helper()
+	upstream, farUpstream := serve(t, hostIP, http.HandlerFunc(serveUpstream)), serve(t, farIP, http.HandlerFunc(serveFarUpstream))
+	store := serve(t, hostIP, serveStore(upstream, farUpstream))
+	far := sidecarHost{ip: farIP, service: farName, upstream: farUpstream, store: store, connections: farConnections}
+	farNode := far.start(t)
+	_, port, err := net.SplitHostPort(farNode.peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := sidecarHost{
+		ip: hostIP, service: serviceName, upstream: upstream, store: store, connections: upstreamConnections, peerPort: port,
+		memoryMB: memoryMB, maxFiles: maxFiles,
+	}
+	nod := host.start(t)
+	nod.await("a request is answered by the other host", readyTimeout, func() bool {
+		status, _, err := get(nod.ingress, "/far/safe/ordinary", routeHost)
+		return err == nil && status == http.StatusOK
+	})
+	return nod
+}
+
+// sidecarHost is what a sidecar is told of its host.
+type sidecarHost struct {
+	ip, service, upstream, store string
+	connections                  int    // to the upstream
+	peerPort                     string // the same on all hosts; empty for any
+	memoryMB, maxFiles           int    // 0 for no bound
+}
+
+// start starts the sidecar and waits until it is ready. Another process may take a port in between, so it tries other ports
+// then.
+func (sih *sidecarHost) start(t *testing.T) *node {
+	t.Helper()
 	for range maxStarts {
-		nod, log := startProcess(t, upstream, store)
+		nod, log := sih.startProcess(t)
 		start := time.Now()
 		for !nod.exited() {
 			if status, _, err := get(nod.ready, "/readyz", ""); err == nil && status == http.StatusOK {
@@ -211,14 +275,17 @@
 	return nil
 }
 
-func startProcess(t *testing.T, upstream, store string) (*node, *logBuffer) {
+func (sih *sidecarHost) startProcess(t *testing.T) (*node, *logBuffer) {
 	t.Helper()
-	addrs := freeAddrs(t, 4)
-	nod := &node{t: t, ingress: addrs[0], ready: addrs[1]}
+	addrs := freeAddrs(t, sih.ip, 4)
+	nod := &node{t: t, ingress: addrs[0], ready: addrs[1], peer: addrs[2], admin: addrs[3]}
+	if sih.peerPort != "" {
+		nod.peer = net.JoinHostPort(sih.ip, sih.peerPort)
+	}
 	log := &logBuffer{}
-	cmd := exec.Command(program, "sidecar", "--host", hostIP, "--domain", "a", "--domains", "a", "--service", serviceName,
-		"--upstream", "http://"+upstream, "--upstream-connections", "60", "--ingress", nod.ingress, "--peer", addrs[2], "--ready", nod.ready,
-		"--admin", addrs[3], "--store", store, "--memory-mb", strconv.Itoa(memoryMB), "--max-files", strconv.Itoa(maxFiles))
+	cmd := exec.Command(program, "sidecar", "--host", sih.ip, "--domain", "a", "--domains", "a", "--service", sih.service,
+		"--upstream", "http://"+sih.upstream, "--upstream-connections", strconv.Itoa(sih.connections), "--ingress", nod.ingress, "--peer", nod.peer,
+		"--ready", nod.ready, "--admin", nod.admin, "--store", sih.store, "--memory-mb", strconv.Itoa(sih.memoryMB), "--max-files", strconv.Itoa(sih.maxFiles))
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
