Bound what metrics that nobody reads make a node hold

Callers of /metrics that did not read took a node with 64 MiB to 79,092 and 87,364 KiB (beside a crowd at the port for callers). Each compressed answer takes a compressor of about 800 KB, and each port served 64 at once. Answers are not compressed any more, at most four are collected at once, and each is held as text while it is written.

--- a/io/base/metrics.go
+++ b/io/base/metrics.go
@@ -11,7 +11,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-const metricPrefix = "amaranthline_"
+const (
+	metricPrefix  = "amaranthline_"
+	maxScrapes    = 4 // metrics that are collected at once
+	scrapeTimeout = 5 * time.Second
+)
 
 // latencyBuckets are in seconds. The lowest is the latency that one hop adds, the highest the longest usual deadline.
 var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
@@ -109,7 +113,10 @@
 
 // Handler serves the metrics in the Prometheus text format.
 func (met *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(met.registry, promhttp.HandlerOpts{})
+	// A compressor takes 800 KB for each answer. The timeout handler holds each answer as text, so that a client that does not
+	// read keeps neither the collected metrics nor one of the places for collecting them.
+	han := promhttp.HandlerFor(met.registry, promhttp.HandlerOpts{DisableCompression: true, MaxRequestsInFlight: maxScrapes})
+	return http.TimeoutHandler(han, scrapeTimeout, "collecting the metrics took too long")
 }
 
 func kindLabel(nested bool) string {
