Count connections of unknown peers and at inner ports in the descriptors

Unknown peers get an eighth of the descriptors, at least 16 and at most 256 as before; the inner ports 16 connections each.

--- a/core/state/memory/division.go
+++ b/core/state/memory/division.go
@@ -30,6 +30,8 @@
 	reservedFiles   = 200 // for files, the store, operators and listeners
 	peerFilesFactor = 8   // an eighth of the descriptors is for connections between nodes
 
+	minHandshakes, maxHandshakes = 16, 256 // connections of peers that have not said who they are
+
 	lineBytes      = 320 // of a header line as net/http and the copies on the way to the upstream hold it, without its text
 	headTextCopies = 3   // of the text of a head: the framing's buffer, net/http's strings and a packed copy
 
@@ -41,6 +43,7 @@
 // Division is how much of a process's memory and descriptors the callers may use.
 type Division struct {
 	connections int
+	handshakes  int
 	request     int
 	heads       int
 	heapLimit   int64
@@ -61,6 +64,7 @@
 	// At least a quarter of the descriptors stays for callers where the upstream would take all of them.
 	free := max(files-reservedFiles-files/peerFilesFactor-upstreamConnections, files/4)
 	div.connections = min(max(total/connectionDivisor/(connectionBytes+FreeBytes), minConnections), free)
+	div.handshakes = min(max(files/peerFilesFactor, minHandshakes), maxHandshakes)
 	div.request = max(total/requestDivisor, minRequestBytes)
 	div.heads = max(total/headDivisor, mebibyte)
 	return div
@@ -69,6 +73,9 @@
 // Connections returns how many connections of callers may be open at once.
 func (div Division) Connections() int { return div.connections }
 
+// Handshakes returns how many connections at the port for peers may be open whose peers are not known yet.
+func (div Division) Handshakes() int { return div.handshakes }
+
 // RequestBytes returns what all requests together may hold beyond FreeBytes each.
 func (div Division) RequestBytes() int { return div.request }
 
--- a/core/state/memory/memory_test.go
+++ b/core/state/memory/memory_test.go
@@ -69,6 +69,9 @@
 		if div.Connections() > files*7/8 || div.Connections() < 32 {
 			rt.Fatalf("%d connections of %d descriptors", div.Connections(), files)
 		}
+		if peers := div.Handshakes(); peers > max(files/8, 32) || peers < 16 {
+			rt.Fatalf("%d unknown peers of %d descriptors", peers, files)
+		}
 		if div.RequestBytes() < costliest {
 			rt.Fatalf("a legal head costs %d of %d bytes", costliest, div.RequestBytes())
 		}
--- a/io/base/inner.go
+++ b/io/base/inner.go
@@ -19,7 +19,8 @@
 	innerIdleTimeout  = 30 * time.Second
 	innerWritePause   = 10 * time.Second
 	innerHeadBytes    = 8 << 10
-	innerMemoryMB     = 16 // too little for more than the smallest number of connections, 64
+	innerMemoryMB     = 16
+	innerFiles        = 64 // a quarter of them is for connections
 	limitLinesPause   = time.Second
 	innerReadDeadline = 5 * time.Second // for a whole request
 )
@@ -36,7 +37,7 @@
 func ListenInner(lis net.Listener) net.Listener {
 	return inlet.Listen(lis, inlet.Settings{
 		HeadTimeout: innerHeadTimeout, MaxHeadBytes: innerHeadBytes, ReadAheadBytes: innerHeadBytes, WritePause: innerWritePause,
-		Limits: inlet.NewLimits(memory.Divide(innerMemoryMB, 0, 0), nil),
+		Limits: inlet.NewLimits(memory.Divide(innerMemoryMB, innerFiles, 0), nil),
 		Refuse: func(ref *core.Refusal) []byte {
 			return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", ref.Status(), http.StatusText(ref.Status()))
 		},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -97,7 +97,8 @@
 	}
 	nod.mesh = mesh.New(mesh.Settings{
 		Host: nod.settings.Host, Incarnation: incarnation, Listen: nod.settings.Peer, ServerTLS: tlsConfig, ClientTLS: tlsConfig,
-		Handler: nod, Control: nod, OnEvent: func(eve mesh.Event) { nod.metrics.CountPeerEvent(eve.String()) },
+		Handshakes: memory.Divide(nod.settings.MemoryMB, nod.settings.MaxFiles, nod.settings.Connections).Handshakes(),
+		Handler:    nod, Control: nod, OnEvent: func(eve mesh.Event) { nod.metrics.CountPeerEvent(eve.String()) },
 	})
 	return nil
 }
--- a/io/side/node.go
+++ b/io/side/node.go
@@ -84,9 +84,10 @@
 		return nil, err
 	}
 	nod := &Node{settings: set, log: log, eventLog: eventLog, metrics: base.NewMetrics()}
+	div := memory.Divide(set.MemoryMB, set.MaxFiles, set.Connections)
 	nod.mesh = mesh.New(mesh.Settings{
 		Host: set.Host, Incarnation: uint64(time.Now().UnixNano()), Listen: set.Peer, Insecure: set.InsecurePeers,
-		IdleTimeout: peerIdleTimeout, Handler: nod, Control: nod, OnEvent: func(eve mesh.Event) { nod.metrics.CountPeerEvent(eve.String()) },
+		IdleTimeout: peerIdleTimeout, Handshakes: div.Handshakes(), Handler: nod, Control: nod, OnEvent: func(eve mesh.Event) { nod.metrics.CountPeerEvent(eve.String()) },
 	})
 	nod.upstream = back.New(back.Settings{
 		BaseURL: set.Upstream, MaxConnections: set.Connections, OnCrash: func() { nod.proxy.UpstreamCrashed() },
@@ -101,7 +102,6 @@
 		Snapshot: nod.syncer.Snapshot, Observer: nod.metrics, EventLog: eventLog, Rand: newRand(), RetryShare: set.RetryShare,
 		Scheduling: set.Scheduling,
 	})
-	div := memory.Divide(set.MemoryMB, set.MaxFiles, set.Connections)
 	base.LimitHeap(div)
 	nod.limits = inlet.NewLimits(div, nod.onCallerLimit)
 	nod.bounds = bounds.New()
--- a/io/transport/mesh/conn.go
+++ b/io/transport/mesh/conn.go
@@ -39,14 +39,14 @@
 
 // Bounds of counts and the layout of yamux frames.
 const (
-	maxMissedProbes      = 3    // unanswered probes in a row after which a session is ended; its calls go on on the next one
-	maxSessionCalls      = 1024 // calls and control messages in flight on one session
-	maxSessionsPerHost   = 4    // accepted from one host
-	maxPendingHandshakes = 256  // accepted connections that have not yet sent their Hello
-	streamAcceptBacklog  = 256  // streams of a session that the peer has opened and this node has not yet accepted
-	offsetSamples        = 8    // recent probes among which the one with the shortest round-trip time gives the clock offset
-	yamuxHeaderBytes     = 12   // length of the header of every yamux frame
-	yamuxLengthOffset    = 8    // byte offset of the length field in that header
+	maxMissedProbes     = 3    // unanswered probes in a row after which a session is ended; its calls go on on the next one
+	maxSessionCalls     = 1024 // calls and control messages in flight on one session
+	maxSessionsPerHost  = 4    // accepted from one host
+	defaultHandshakes   = 256  // accepted connections that have not yet sent their Hello
+	streamAcceptBacklog = 256  // streams of a session that the peer has opened and this node has not yet accepted
+	offsetSamples       = 8    // recent probes among which the one with the shortest round-trip time gives the clock offset
+	yamuxHeaderBytes    = 12   // length of the header of every yamux frame
+	yamuxLengthOffset   = 8    // byte offset of the length field in that header
 )
 
 // InsecureError means that an address outside loopback would be used without TLS.
--- a/io/transport/mesh/mesh.go
+++ b/io/transport/mesh/mesh.go
@@ -43,6 +43,7 @@
 	Handler     core.Handler
 	Control     core.ControlHandler
 	OnEvent     func(Event)   // called from many goroutines; may be nil
+	Handshakes  int           // bound on accepted connections that have not yet sent their Hello; 256 when zero
 	Insecure    bool          // allows addresses outside loopback without TLS
 	IdleTimeout time.Duration // after which an unused connection that SetPeers does not keep is closed; 60 s when zero
 }
@@ -75,7 +76,7 @@
 	if set.IdleTimeout == 0 {
 		set.IdleTimeout = defaultIdleTimeout
 	}
-	mes := &Mesh{settings: set, epoch: time.Now(), inbound: newInboundSessions(), lanes: newLaneRegistry(), ready: make(chan struct{})}
+	mes := &Mesh{settings: set, epoch: time.Now(), inbound: newInboundSessions(set.Handshakes), lanes: newLaneRegistry(), ready: make(chan struct{})}
 	mes.peers.Store(&map[string]*peer{})
 	return mes
 }
--- a/io/transport/mesh/serve.go
+++ b/io/transport/mesh/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -30,8 +31,8 @@
 	handshakes chan struct{} // has one element for each connection whose Hello has not been accepted yet
 }
 
-func newInboundSessions() *inboundSessions {
-	return &inboundSessions{byHost: map[string][]*inboundSession{}, handshakes: make(chan struct{}, maxPendingHandshakes)}
+func newInboundSessions(handshakes int) *inboundSessions {
+	return &inboundSessions{byHost: map[string][]*inboundSession{}, handshakes: make(chan struct{}, cmp.Or(handshakes, defaultHandshakes))}
 }
 
 // add records a session. When its host has maxSessionsPerHost already, it closes the oldest of them, which is the most
@@ -83,7 +84,7 @@
 	}
 }
 
-// startHandshake serves a new connection, or closes it when maxPendingHandshakes have not yet sent their Hello.
+// startHandshake serves a new connection, or closes it when too many have not yet sent their Hello.
 func (mes *Mesh) startHandshake(conn net.Conn) {
 	select {
 	case mes.inbound.handshakes <- struct{}{}:
@@ -125,7 +126,7 @@
 }
 
 // handshake runs TLS, yamux and Hello under a deadline on the TCP connection, so that a slow or silent peer cannot
-// occupy one of the maxPendingHandshakes for longer than handshakeTimeout.
+// occupy one of the places for handshakes for longer than handshakeTimeout.
 func (mes *Mesh) handshake(ctx context.Context, raw net.Conn) (*inboundSession, error) {
 	if err := raw.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, err
