Refuse senders whose request bodies come a byte at a time

Beside 600 callers whose bodies came at 10 bytes a second, a node with 213 places for connections answered no ordinary request within a minute. Each byte began another pause of 5 s, so every connection had a request at work until its deadline, and such a connection is not closed in favour of a new one; the cause is read from the code and from the lines of the log (limit: connections). A sender must now send 1 KiB, or the rest, in each 5 s that the node waits for it.

--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -38,8 +38,10 @@
 	// maxParsedHeadBytes is the longest head that net/http parses; it is above the limits of headers in use, so that checkHeader
 	// refuses an oversize header block, with a reason and a metric, before net/http does.
 	maxParsedHeadBytes     = 128 << 10
-	readAheadBytes         = 64 << 10         // of a connection's further requests that are read while one is served
-	maxBodyPause           = 5 * time.Second  // longest wait for more of a request body before the sender is refused as slow
+	readAheadBytes         = 64 << 10        // of a connection's further requests that are read while one is served
+	maxBodyPause           = 5 * time.Second // longest wait for minBodyProgress of a request body before the sender is refused as slow
+	minBodyProgress        = 1 << 10         // bytes, or the rest of the body
+	lastBodyLook           = 20 * time.Millisecond
 	maxUnreadBytes         = 256 << 10        // of the body of a refused request that are still read, as in net/http
 	maxReadPause           = 10 * time.Second // longest wait for a caller to read on, unless memory is short
 	bufferedBytes          = 64 << 10         // of each body that package body keeps in memory
@@ -315,25 +317,34 @@
 	limit      int64
 	controller *http.ResponseController
 	reading    sync.Mutex
-	ended      atomic.Bool // the body was read to its end
-	detached   atomic.Bool // the request has been served
+	progress   int           // bytes since pauseLeft was last maxBodyPause; guarded by reading
+	pauseLeft  time.Duration // of maxBodyPause, without the time between reads; guarded by reading
+	ended      atomic.Bool   // the body was read to its end
+	detached   atomic.Bool   // the request has been served
 }
 
 func newLimitedBody(wri http.ResponseWriter, hrq *http.Request, limit int64) *limitedBody {
-	return &limitedBody{reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri)}
+	return &limitedBody{
+		reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri), pauseLeft: maxBodyPause,
+	}
 }
 
 // Read returns a refusal as error when the body is too large or its sender too slow.
 func (lbo *limitedBody) Read(buf []byte) (int, error) {
 	lbo.reading.Lock()
 	defer lbo.reading.Unlock()
-	if err := lbo.controller.SetReadDeadline(time.Now().Add(maxBodyPause)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	start := time.Now()
+	if err := lbo.controller.SetReadDeadline(start.Add(max(lbo.pauseLeft, lastBodyLook))); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, fmt.Errorf("set the read deadline of the body: %w", err)
 	}
 	if lbo.detached.Load() { // checked after the deadline is set, which may undo that of detach
 		return 0, http.ErrBodyReadAfterClose
 	}
 	got, err := lbo.reader.Read(buf)
+	lbo.pauseLeft -= time.Since(start)
+	if lbo.progress += got; lbo.progress >= minBodyProgress {
+		lbo.progress, lbo.pauseLeft = 0, maxBodyPause
+	}
 	if err == nil {
 		return got, nil
 	}
