Count what answers hold while they are read, and close the longest unread

Such an answer holds 64 KiB that were read before its head was passed on, up to 128 KiB of parts that the other host sends before they are asked for, and a buffer of 32 KiB; 80 KiB of them were counted, and an answer that found no room was passed on all the same.

An answer longer than what is buffered is now counted at 224 KiB, less the free 16 KiB. If they are not left, the connection whose present write has waited longest, at least 0.5 s, is reset; if there is none, the new answer is given up with 502, which promises nothing. Short answers are passed on as before, also when their length is unknown. TestLongestUnreadAnswerIsClosed fails without the closing.

--- a/core/call.go
+++ b/core/call.go
@@ -335,6 +335,8 @@
 	header   http.Header
 	body     io.ReadCloser
 	feedback func() Feedback
+	buffered int  // bytes of the body that are in memory; 0 if that is not known
+	hasRest  bool // more than these may follow
 }
 
 // NewAnswer returns an answer; feedback returns the final feedback once the body has been read.
@@ -344,9 +346,25 @@
 
 // WithBody returns the answer with another body, which takes over the one that it had.
 func (ans *Answer) WithBody(body io.ReadCloser) *Answer {
-	return NewAnswer(ans.status, ans.header, body, ans.feedback)
+	out := *ans
+	out.body = body
+	return &out
 }
 
+// WithBufferedBody returns the answer with another body of which a number of bytes are in memory; hasRest says whether more
+// may follow.
+func (ans *Answer) WithBufferedBody(body io.ReadCloser, buffered int, hasRest bool) *Answer {
+	out := ans.WithBody(body)
+	out.buffered, out.hasRest = buffered, hasRest
+	return out
+}
+
+// BufferedBytes returns how many bytes of the body were in memory when the answer was made, or 0 if that is not known.
+func (ans *Answer) BufferedBytes() int { return ans.buffered }
+
+// HasRest reports whether the body may be longer than BufferedBytes says.
+func (ans *Answer) HasRest() bool { return ans.hasRest }
+
 // Status returns the HTTP status code of the upstream's response.
 func (ans *Answer) Status() int { return ans.status }
 
--- a/core/coordination/handle/send.go
+++ b/core/coordination/handle/send.go
@@ -279,5 +279,5 @@
 		defer done()
 		return ans.Body().Close()
 	}}
-	return core.NewAnswer(ans.Status(), ans.Header(), cbo, ans.Feedback)
+	return ans.WithBody(cbo)
 }
--- a/core/coordination/proxy/send.go
+++ b/core/coordination/proxy/send.go
@@ -53,7 +53,7 @@
 		}
 		return nil, prx.callerRefusal(out, ref)
 	}
-	return core.NewAnswer(ans.Status(), ans.Header(), &cancelOnClose{ans, cancel}, ans.Feedback), nil
+	return ans.WithBody(&cancelOnClose{ans, cancel}), nil
 }
 
 // cancelOnClose cancels the context of a request when its answer is closed.
--- a/core/state/body/body.go
+++ b/core/state/body/body.go
@@ -84,8 +84,9 @@
 		return nil, err
 	}
 	bod := bufferedBody{Reader: bytes.NewReader(prefix), Closer: ans.Body()}
-	if len(prefix) == maxBufferedBytes {
+	hasRest := len(prefix) == maxBufferedBytes
+	if hasRest {
 		bod.Reader = io.MultiReader(bod.Reader, ans.Body())
 	}
-	return core.NewAnswer(ans.Status(), ans.Header(), bod, ans.Feedback), nil
+	return ans.WithBufferedBody(bod, len(prefix), hasRest), nil
 }
--- a/io/transport/front/ahead.go
+++ b/io/transport/front/ahead.go
@@ -168,6 +168,7 @@
 	ready    chan struct{} // closed once the fields below are set
 	ans      *core.Answer  // nil if err is not
 	body     *spool
+	held     int // bytes of the budget that a long answer holds beside those in body
 	err      error
 	panicked any // what the handler panicked with
 }
@@ -189,6 +190,17 @@
 		close(beg.ready)
 		return
 	}
+	if ans.HasRest() {
+		size := answerBytes(ans)
+		if !beg.beginner.memory.Reserve(size) {
+			_ = ans.Body().Close()
+			beg.err = longAnswerRefusal()
+			fro.observer.Refused(core.ReasonTruncated, "", "")
+			close(beg.ready)
+			return
+		}
+		beg.held = size
+	}
 	beg.body = newSpool(ans.Body(), ans.Header(), beg.budget)
 	beg.ans = ans.WithBody(beg.body)
 	close(beg.ready)
@@ -219,7 +231,7 @@
 	if beg.body != nil {
 		_ = beg.body.Close() // nobody reads it
 	}
-	beg.beginner.memory.Release(begunBytes)
+	beg.beginner.memory.Release(begunBytes + beg.held)
 }
 
 // answer waits for the answer in the request's turn. It returns neither answer nor error if the request was refused for
--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -46,6 +46,7 @@
 	maxReadPause           = 10 * time.Second // longest wait for a caller to read on, unless memory is short
 	bufferedBytes          = 64 << 10         // of each body that package body keeps in memory
 	copyBytes              = 32 << 10         // buffer of io.Copy
+	peerAheadBytes         = 128 << 10        // of a long answer that another host sends before they are asked for
 	memoryRetryAfter       = time.Second
 	maxIdempotencyKeyBytes = 255
 	maxTimeoutMillis       = 10 * 60 * 1000
@@ -205,7 +206,10 @@
 	if hasBody && !bod.ended.Load() {
 		allowEarlyAnswer(wri)
 	}
-	chargeAnswer(hrq, ans)
+	if ref := chargeAnswer(hrq, ans); ref != nil {
+		fro.refuse(wri, hrq, ref)
+		return
+	}
 	if con != nil && con.Answering() {
 		spo := newSpool(ans.Body(), ans.Header(), fro.beginner.answerBudget())
 		spo.fill()
@@ -298,16 +302,39 @@
 	return con == nil || con.Charge(memory.Charged(int(min(size, bufferedBytes))))
 }
 
-// chargeAnswer takes the bytes that an answer occupies while the caller reads it. If they are not left, the caller gets less
-// time to read.
-func chargeAnswer(hrq *http.Request, ans *core.Answer) {
+// answerBytes returns the bytes that an answer occupies while the caller reads it.
+func answerBytes(ans *core.Answer) int {
+	if ans.HasRest() {
+		return bufferedBytes + copyBytes + peerAheadBytes
+	}
+	if size := ans.BufferedBytes(); size > 0 {
+		return size
+	}
 	size, err := strconv.Atoi(ans.Header().Get("Content-Length"))
 	if err != nil || size > bufferedBytes {
-		size = bufferedBytes + copyBytes
+		return bufferedBytes + copyBytes
 	}
-	if con := inlet.FromContext(hrq.Context()); con != nil && !con.Charge(memory.Charged(size)) {
-		con.HurryReader()
+	return size
+}
+
+// chargeAnswer takes the bytes that an answer occupies while the caller reads it. If they are not left, the caller of a short
+// answer gets less time to read; a long one is given up, and chargeAnswer returns the refusal in its place.
+func chargeAnswer(hrq *http.Request, ans *core.Answer) *core.Refusal {
+	con := inlet.FromContext(hrq.Context())
+	if con == nil || con.ChargeAnswer(memory.Charged(answerBytes(ans))) {
+		return nil
 	}
+	if ans.HasRest() {
+		_ = ans.Body().Close()
+		return longAnswerRefusal()
+	}
+	con.HurryReader()
+	return nil
+}
+
+// longAnswerRefusal returns the refusal in place of an answer for which no memory is left. Its request has run.
+func longAnswerRefusal() *core.Refusal {
+	return core.NewRefusal(core.ReasonTruncated, core.OutcomeUnknown, "the answer would hold more memory than is left while it is read")
 }
 
 // limitedBody limits the size of a request body and the time that each read waits for the sender. A goroutine that sends the
--- a/io/transport/inlet/guard.go
+++ b/io/transport/inlet/guard.go
@@ -22,6 +22,8 @@
 	refusalWriteTime = 500 * time.Millisecond
 	// impatience divides Settings.WritePause while memory is short.
 	impatience = 5
+	// minUnreadTime is how long a write must have waited for its caller before the connection may be closed in favour of others.
+	minUnreadTime = 500 * time.Millisecond
 )
 
 // guard is the part of a connection that Limits reads.
@@ -36,6 +38,8 @@
 	refusal    *core.Refusal // to be sent; guarded by Conn.mut
 	refused    bool          // the refusal was sent; guarded by Conn.mut
 
+	writingSince atomic.Int64 // Unix nanoseconds of the start of the present write, or 0
+
 	writeBy   time.Time   // deadline that writes have now; used only by the goroutine that writes
 	impatient atomic.Bool // WritePause is shortened for the present answer
 }
@@ -207,6 +211,8 @@
 	if con.impatient.Load() {
 		pause /= impatience
 	}
+	con.writingSince.Store(time.Now().UnixNano())
+	defer con.writingSince.Store(0)
 	written := 0
 	for {
 		// The deadline is set again only when less than the pause is left, so that most writes do not pay for it.
--- a/io/transport/inlet/limits.go
+++ b/io/transport/inlet/limits.go
@@ -185,6 +185,42 @@
 // ReleaseCall gives back bytes that ReserveCall took.
 func (lim *Limits) ReleaseCall(bytes int) { lim.requests.Release(bytes) }
 
+// ChargeAnswer takes bytes that the answer to the present request holds while it is read, as Charge does. If they are not left, it
+// closes the connections whose answers have been unread for longest.
+func (con *Conn) ChargeAnswer(bytes int) bool {
+	lim := con.settings.Limits
+	for lim != nil && bytes > lim.requests.Limit()-lim.requests.Used() {
+		if !lim.closeUnread() {
+			break
+		}
+	}
+	return con.Charge(bytes)
+}
+
+// closeUnread closes the connection whose present write has waited longest, and reports whether there was one that had waited for
+// minUnreadTime.
+func (lim *Limits) closeUnread() bool {
+	lim.mut.Lock()
+	defer lim.mut.Unlock()
+	var victim *Conn
+	oldest := time.Now().Add(-minUnreadTime).UnixNano()
+	for con := range lim.conns {
+		if since := con.writingSince.Load(); since != 0 && since <= oldest && con.charged.Load() > 0 {
+			victim, oldest = con, since
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	lim.requests.Release(int(victim.charged.Swap(0)))
+	if lin, ok := victim.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lin.SetLinger(0) // without a reset, the end of the connection may complete an answer over HTTP/1.0
+	}
+	_ = victim.Conn.Close()
+	lim.onLimit(LimitUnread, victim.RemoteAddr())
+	return true
+}
+
 // Charge takes bytes that the present request holds, until it has been served, and reports whether they were left.
 func (con *Conn) Charge(bytes int) bool {
 	lim := con.settings.Limits
--- a/io/transport/inlet/limits_test.go
+++ b/io/transport/inlet/limits_test.go
@@ -34,6 +34,11 @@
 func division() memory.Division { return memory.Divide(8, 0, 0) }
 
 func serveLimited(t testing.TB, handler http.HandlerFunc) *limited {
+	t.Helper()
+	return serveLimitedPausing(t, headTimeout, handler)
+}
+
+func serveLimitedPausing(t testing.TB, writePause time.Duration, handler http.HandlerFunc) *limited {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +51,7 @@
 		lmd.met[lim]++
 	})
 	set := settings()
-	set.Limits, set.WritePause = lmd.limits, headTimeout
+	set.Limits, set.WritePause = lmd.limits, writePause
 	set.MaxHeadBytes = 16 << 10
 	set.Refuse = func(ref *core.Refusal) []byte {
 		return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", ref.Status(), ref.Outcome())
@@ -431,3 +436,63 @@
 	}
 	b.Run("limited", func(b *testing.B) { run(b, serveLimited(b, answerOK).addr) })
 }
+
+// Guards against answers that nobody reads, which keep the memory of requests from the answers of other callers, and against
+// closing a connection whose answer is not being written.
+func TestLongestUnreadAnswerIsClosed(t *testing.T) {
+	const charge = 1 << 20 // a quarter of the budget
+	lmd := serveLimitedPausing(t, time.Minute, func(wri http.ResponseWriter, req *http.Request) {
+		charged := inlet.FromContext(req.Context()).ChargeAnswer(charge)
+		switch req.URL.Path {
+		case "/unread":
+			for err := error(nil); err == nil; {
+				_, err = wri.Write(make([]byte, 64<<10))
+			}
+		case "/waits":
+			<-req.Context().Done()
+		default:
+			fmt.Fprint(wri, charged)
+		}
+	})
+	request := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+	waiting := lmd.dial()
+	_, _ = io.WriteString(waiting, request("/waits"))
+	lmd.awaitRequestBytes(charge)
+	for num := range 3 {
+		_, _ = io.WriteString(lmd.dial(), request("/unread"))
+		lmd.awaitRequestBytes((num + 2) * charge)
+	}
+	var answer string
+	for start := time.Now(); answer != "true" && time.Since(start) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
+		con := lmd.dial()
+		_, _ = io.WriteString(con, request("/"))
+		rsp, err := http.ReadResponse(bufio.NewReader(con), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, _ := io.ReadAll(rsp.Body)
+		answer = string(data)
+		_ = rsp.Body.Close()
+	}
+	if diff := cmp.Diff("true", answer); diff != "" {
+		t.Error(diff)
+	}
+	lmd.mut.Lock()
+	unread := lmd.met[inlet.LimitUnread]
+	lmd.mut.Unlock()
+	if diff := cmp.Diff(1, unread); diff != "" {
+		t.Error("connections that were closed for unread answers: ", diff)
+	}
+	if _, err := waiting.Write([]byte("x")); err != nil {
+		t.Error("the connection whose answer is not being written was closed: ", err)
+	}
+}
+
+func (lmd *limited) awaitRequestBytes(bytes int) {
+	lmd.t.Helper()
+	for start := time.Now(); lmd.limits.RequestBytes() < bytes; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			lmd.t.Fatalf("%d bytes are charged, want %d", lmd.limits.RequestBytes(), bytes)
+		}
+	}
+}
