--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -38,12 +38,15 @@
 	// maxParsedHeadBytes is the longest head that net/http parses; it is above the limits of headers in use, so that checkHeader
 	// refuses an oversize header block, with a reason and a metric, before net/http does.
 	maxParsedHeadBytes     = 128 << 10
-	readAheadBytes         = 64 << 10         // of a connection's further requests that are read while one is served
-	maxBodyPause           = 5 * time.Second  // longest wait for more of a request body before the sender is refused as slow
+	readAheadBytes         = 64 << 10        // of a connection's further requests that are read while one is served
+	maxBodyPause           = 5 * time.Second // longest wait for minBodyProgress of a request body before the sender is refused as slow
+	minBodyProgress        = 1 << 10         // bytes, or the rest of the body
+	lastBodyLook           = 20 * time.Millisecond
 	maxUnreadBytes         = 256 << 10        // of the body of a refused request that are still read, as in net/http
 	maxReadPause           = 10 * time.Second // longest wait for a caller to read on, unless memory is short
 	bufferedBytes          = 64 << 10         // of each body that package body keeps in memory
 	copyBytes              = 32 << 10         // buffer of io.Copy
+	peerAheadBytes         = 128 << 10        // of a long answer that another host sends before they are asked for
 	memoryRetryAfter       = time.Second
 	maxIdempotencyKeyBytes = 255
 	maxTimeoutMillis       = 10 * 60 * 1000
@@ -203,7 +206,10 @@
 	if hasBody && !bod.ended.Load() {
 		allowEarlyAnswer(wri)
 	}
-	chargeAnswer(hrq, ans)
+	if ref := chargeAnswer(hrq, ans); ref != nil {
+		fro.refuse(wri, hrq, ref)
+		return
+	}
 	if con != nil && con.Answering() {
 		spo := newSpool(ans.Body(), ans.Header(), fro.beginner.answerBudget())
 		spo.fill()
@@ -296,16 +302,39 @@
 	return con == nil || con.Charge(memory.Charged(int(min(size, bufferedBytes))))
 }
 
-// chargeAnswer takes the bytes that an answer occupies while the caller reads it. If they are not left, the caller gets less
-// time to read.
-func chargeAnswer(hrq *http.Request, ans *core.Answer) {
+// answerBytes returns the bytes that an answer occupies while the caller reads it.
+func answerBytes(ans *core.Answer) int {
+	if ans.HasRest() {
+		return bufferedBytes + copyBytes + peerAheadBytes
+	}
+	if size := ans.BufferedBytes(); size > 0 {
+		return size
+	}
 	size, err := strconv.Atoi(ans.Header().Get("Content-Length"))
 	if err != nil || size > bufferedBytes {
-		size = bufferedBytes + copyBytes
+		return bufferedBytes + copyBytes
 	}
-	if con := inlet.FromContext(hrq.Context()); con != nil && !con.Charge(memory.Charged(size)) {
-		con.HurryReader()
+	return size
+}
+
+// chargeAnswer takes the bytes that an answer occupies while the caller reads it. If they are not left, the caller of a short
+// answer gets less time to read; a long one is given up, and chargeAnswer returns the refusal in its place.
+func chargeAnswer(hrq *http.Request, ans *core.Answer) *core.Refusal {
+	con := inlet.FromContext(hrq.Context())
+	if con == nil || con.ChargeAnswer(memory.Charged(answerBytes(ans))) {
+		return nil
 	}
+	if ans.HasRest() {
+		_ = ans.Body().Close()
+		return longAnswerRefusal()
+	}
+	con.HurryReader()
+	return nil
+}
+
+// longAnswerRefusal returns the refusal in place of an answer for which no memory is left. Its request has run.
+func longAnswerRefusal() *core.Refusal {
+	return core.NewRefusal(core.ReasonTruncated, core.OutcomeUnknown, "the answer would hold more memory than is left while it is read")
 }
 
 // limitedBody limits the size of a request body and the time that each read waits for the sender. A goroutine that sends the
@@ -315,25 +344,34 @@
 	limit      int64
 	controller *http.ResponseController
 	reading    sync.Mutex
-	ended      atomic.Bool // the body was read to its end
-	detached   atomic.Bool // the request has been served
+	progress   int           // bytes since pauseLeft was last maxBodyPause; guarded by reading
+	pauseLeft  time.Duration // of maxBodyPause, without the time between reads; guarded by reading
+	ended      atomic.Bool   // the body was read to its end
+	detached   atomic.Bool   // the request has been served
 }
 
 func newLimitedBody(wri http.ResponseWriter, hrq *http.Request, limit int64) *limitedBody {
-	return &limitedBody{reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri)}
+	return &limitedBody{
+		reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri), pauseLeft: maxBodyPause,
+	}
 }
 
 // Read returns a refusal as error when the body is too large or its sender too slow.
 func (lbo *limitedBody) Read(buf []byte) (int, error) {
 	lbo.reading.Lock()
 	defer lbo.reading.Unlock()
-	if err := lbo.controller.SetReadDeadline(time.Now().Add(maxBodyPause)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	start := time.Now()
+	if err := lbo.controller.SetReadDeadline(start.Add(max(lbo.pauseLeft, lastBodyLook))); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, fmt.Errorf("set the read deadline of the body: %w", err)
 	}
 	if lbo.detached.Load() { // checked after the deadline is set, which may undo that of detach
 		return 0, http.ErrBodyReadAfterClose
 	}
 	got, err := lbo.reader.Read(buf)
+	lbo.pauseLeft -= time.Since(start)
+	if lbo.progress += got; lbo.progress >= minBodyProgress {
+		lbo.progress, lbo.pauseLeft = 0, maxBodyPause
+	}
 	if err == nil {
 		return got, nil
 	}
