Refuse senders of slow bodies only while connections are short

The rule now holds while three quarters of the connections are open. Otherwise each byte begins another 5 s, as before.

TestSlowBodyIsServedInCalm failed before: the connection was reset after 6 s.

--- a/io/transport/front/front.go
+++ b/io/transport/front/front.go
@@ -39,8 +39,8 @@
 	// refuses an oversize header block, with a reason and a metric, before net/http does.
 	maxParsedHeadBytes     = 128 << 10
 	readAheadBytes         = 64 << 10        // of a connection's further requests that are read while one is served
-	maxBodyPause           = 5 * time.Second // longest wait for minBodyProgress of a request body before the sender is refused as slow
-	minBodyProgress        = 1 << 10         // bytes, or the rest of the body
+	maxBodyPause           = 5 * time.Second // longest wait for more of a request body before the sender is refused as slow
+	minBodyProgress        = 1 << 10         // bytes that count as more of a body while connections are short; else 1
 	lastBodyLook           = 20 * time.Millisecond
 	maxUnreadBytes         = 256 << 10        // of the body of a refused request that are still read, as in net/http
 	maxReadPause           = 10 * time.Second // longest wait for a caller to read on, unless memory is short
@@ -344,6 +344,7 @@
 	limit      int64
 	controller *http.ResponseController
 	reading    sync.Mutex
+	conn       *inlet.Conn   // nil in tests
 	progress   int           // bytes since pauseLeft was last maxBodyPause; guarded by reading
 	pauseLeft  time.Duration // of maxBodyPause, without the time between reads; guarded by reading
 	ended      atomic.Bool   // the body was read to its end
@@ -352,7 +353,8 @@
 
 func newLimitedBody(wri http.ResponseWriter, hrq *http.Request, limit int64) *limitedBody {
 	return &limitedBody{
-		reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri), pauseLeft: maxBodyPause,
+		reader: http.MaxBytesReader(wri, hrq.Body, limit), limit: limit, controller: http.NewResponseController(wri),
+		conn: inlet.FromContext(hrq.Context()), pauseLeft: maxBodyPause,
 	}
 }
 
@@ -369,7 +371,12 @@
 	}
 	got, err := lbo.reader.Read(buf)
 	lbo.pauseLeft -= time.Since(start)
-	if lbo.progress += got; lbo.progress >= minBodyProgress {
+	// Without connections to spare, a body of a byte now and then would keep its own as long as its request may last.
+	wanted := 1
+	if lbo.conn != nil && lbo.conn.Crowded() {
+		wanted = minBodyProgress
+	}
+	if lbo.progress += got; lbo.progress >= wanted {
 		lbo.progress, lbo.pauseLeft = 0, maxBodyPause
 	}
 	if err == nil {
--- a/io/transport/front/limits_test.go
+++ b/io/transport/front/limits_test.go
@@ -109,3 +109,34 @@
 		}
 	}
 }
+
+// Guards against refusing a single slow sender while nothing else is going on.
+func TestSlowBodyIsServedInCalm(t *testing.T) {
+	const parts, pause = 7, time.Second
+	limits := inlet.NewLimits(memory.Divide(64, 0, 0), nil)
+	fro := front.New(front.Settings{Handler: &bodyReader{}, Observer: base.NewMetrics(), Limits: limits})
+	ser := httptest.NewUnstartedServer(nil)
+	ser.Config, ser.Listener = fro.Server(), fro.Listen(ser.Listener)
+	ser.Start()
+	defer ser.Close()
+	con, err := net.Dial("tcp", ser.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	fmt.Fprintf(con, "POST /stampa/prints/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", parts)
+	for range parts {
+		time.Sleep(pause)
+		if _, err := io.WriteString(con, "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rsp, err := http.ReadResponse(bufio.NewReader(con), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rsp.Body.Close()
+	if diff := cmp.Diff(http.StatusOK, rsp.StatusCode); diff != "" {
+		t.Errorf("status of the answer (-want +got):\n%s", diff)
+	}
+}
--- a/io/transport/inlet/limits.go
+++ b/io/transport/inlet/limits.go
@@ -57,6 +57,15 @@
 // HeadBytes returns how many bytes unfinished heads and further requests hold beyond the smallest buffer of each.
 func (lim *Limits) HeadBytes() int { return lim.heads.Used() }
 
+// crowdedFraction is the fraction of the connections from which slow callers are in the way of others.
+const crowdedFraction = 0.75
+
+// Crowded reports whether so many connections are open that slow callers are in the way of others.
+func (con *Conn) Crowded() bool {
+	lim := con.settings.Limits
+	return lim != nil && float64(lim.Connections()) >= crowdedFraction*float64(lim.connections)
+}
+
 // RequestBytes returns what the requests that are served hold beyond the part that each may hold anyway.
 func (lim *Limits) RequestBytes() int { return lim.requests.Used() }
 
