Name what counts granted calls and missed configurations

Found by reading the diff: a total of granted calls was called sent, one state had two names, and Run stood in the file on rates. No behaviour changes. Tests of proxy and sched pass with -race.

--- a/core/coordination/proxy/proxy.go
+++ b/core/coordination/proxy/proxy.go
@@ -122,6 +122,29 @@
 	return low + time.Duration(lra.rng.Float64()*float64(high-low))
 }
 
+// Run keeps the state of the node's own upstream and of the teams' rates up to date until ctx ends.
+func (prx *Proxy) Run(ctx context.Context) error {
+	var grp sync.WaitGroup
+	defer grp.Wait()
+	grp.Go(func() { prx.upstream.runHealthChecks(ctx) })
+	ticker := time.NewTicker(rate.AdvanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			sna := prx.settings.Snapshot()
+			if sna == nil {
+				continue
+			}
+			up, down := prx.peersByDomain(sna)
+			prx.granter.Advance(prx.clock.Now(), inContact(up, down))
+			prx.upstream.setMayMissConfiguration(prx.mayMissConfiguration(up, down))
+		}
+	}
+}
+
 // WaitIdle waits until no call is in flight at the node's own upstream. Until then the upstream may make nested calls.
 func (prx *Proxy) WaitIdle(ctx context.Context) error {
 	ticker := time.NewTicker(idlePollInterval)
--- a/core/coordination/proxy/queue.go
+++ b/core/coordination/proxy/queue.go
@@ -270,18 +270,18 @@
 	return que.scheduler.NeedsCheck(que.clock.Now())
 }
 
-// sent returns how many calls were given a slot.
-func (que *upstreamQueue) sent() uint64 {
+// granted returns how many calls were given a slot.
+func (que *upstreamQueue) granted() uint64 {
 	que.mut.Lock()
 	defer que.mut.Unlock()
-	return que.scheduler.Sent()
+	return que.scheduler.Granted()
 }
 
-// confirm records that a health check found the upstream warm, which began when the given number of calls had been sent.
-func (que *upstreamQueue) confirm(sentBefore uint64) {
+// confirm records that a health check found the upstream warm, which began when the given number of calls had got a slot.
+func (que *upstreamQueue) confirm(grantedBefore uint64) {
 	que.mut.Lock()
 	defer que.mut.Unlock()
-	que.scheduler.Confirm(sentBefore)
+	que.scheduler.Confirm(grantedBefore)
 	que.dispatch(que.clock.Now())
 }
 
--- a/core/coordination/proxy/rates.go
+++ b/core/coordination/proxy/rates.go
@@ -310,29 +310,6 @@
 // Granters returns the other hosts that grant tokens while all can be reached.
 func (prx *Proxy) Granters() []string { return prx.granters.Granters() }
 
-// Run keeps the state of the node's own upstream and of the teams' rates up to date until ctx ends.
-func (prx *Proxy) Run(ctx context.Context) error {
-	var grp sync.WaitGroup
-	defer grp.Wait()
-	grp.Go(func() { prx.upstream.runHealthChecks(ctx) })
-	ticker := time.NewTicker(rate.AdvanceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			sna := prx.settings.Snapshot()
-			if sna == nil {
-				continue
-			}
-			up, down := prx.peersByDomain(sna)
-			prx.granter.Advance(prx.clock.Now(), inContact(up, down))
-			prx.upstream.setMayBeEvacuated(prx.mayMissConfiguration(up, down))
-		}
-	}
-}
-
 // connectedHosts returns the hosts to which this node keeps connections.
 func (prx *Proxy) connectedHosts() []string {
 	hosts := append(prx.PreferredPeers(), prx.Granters()...)
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -45,15 +45,16 @@
 	coldUntil    time.Time     // as the host list or a health check said last
 	checkWanted  bool          // the host list shows the upstream as cold, and no health check has succeeded since then
 
-	checkPending   bool          // a health check became due, and none has succeeded since then; calls are refused meanwhile
+	checkPending   bool          // a health check became due, and none has succeeded since then; calls are refused at first
 	checkRejected  bool          // since checkPending was set, the upstream has refused one as it refuses calls
 	checkRequested chan struct{} // wakes runHealthChecks after healthInterval
 	confirmDue     chan struct{} // wakes runHealthChecks at once
 	events         int           // that may have made the upstream cold; a check answers for those before its start
 	pendingSince   time.Time     // when checkPending was set
-	lastEvent      time.Time     // latest event that may have made the upstream cold; zero once a check answers for all
-	mayBeEvacuated bool          // the failure domain may be out of service without this node's knowledge
-	down           bool          // all connections were lost, and no health check has succeeded since then
+	// mayMissConfiguration means that the failure domain may be out of service without this node's knowledge.
+	mayMissConfiguration bool
+	lastEvent            time.Time // latest event that may have made the upstream cold; zero once a check answers for all
+	down                 bool      // all connections were lost, and no health check has succeeded since then
 }
 
 func newOwnUpstream(set Settings, clo core.Clock, que *upstreamQueue) *ownUpstream {
@@ -151,26 +152,26 @@
 	oup.lastEvent = now
 }
 
-// setMayBeEvacuated sets whether the failure domain may be out of service without this node's knowledge. Upstreams get
-// cold while their failure domain is out of service.
-func (oup *ownUpstream) setMayBeEvacuated(mayBe bool) {
+// setMayMissConfiguration sets whether changes of the configuration may not reach this node in time. Upstreams get cold while
+// their failure domain is out of service.
+func (oup *ownUpstream) setMayMissConfiguration(mayMiss bool) {
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
-	if mayBe == oup.mayBeEvacuated {
+	if mayMiss == oup.mayMissConfiguration {
 		return
 	}
-	oup.mayBeEvacuated = mayBe
+	oup.mayMissConfiguration = mayMiss
 	now := oup.clock.Now()
 	oup.recordEvent(now) // at the end too: an evacuation may have begun and ended meanwhile
 	oup.updateConfirmation(now)
-	oup.settings.EventLog.Note("configuration may be missed", "", map[string]any{"may_be": mayBe, "sent_last_s": oup.queue.sentLastSecond()})
+	oup.settings.EventLog.Note("configuration may be missed", "", map[string]any{"may_be": mayMiss, "sent_last_s": oup.queue.sentLastSecond()})
 }
 
 // updateConfirmation tells the queue whether the upstream may be cold although nothing shows it as cold. After the latest
 // event it stays cold for coldDuration at most. The caller holds the lock.
 func (oup *ownUpstream) updateConfirmation(now time.Time) {
 	sinceEvent := !oup.lastEvent.IsZero() && (oup.coldDuration == 0 || now.Sub(oup.lastEvent) < oup.coldDuration)
-	oup.queue.setUnconfirmed((oup.mayBeEvacuated || sinceEvent) && oup.coldRate > 0 && oup.healthPath != "")
+	oup.queue.setUnconfirmed((oup.mayMissConfiguration || sinceEvent) && oup.coldRate > 0 && oup.healthPath != "")
 }
 
 // connectionsLost records that the upstream does not listen or that all connections to it were lost.
@@ -265,7 +266,7 @@
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	oup.mut.Lock()
-	events, sent := oup.events, oup.queue.sent()
+	events, granted := oup.events, oup.queue.granted()
 	oup.mut.Unlock()
 	hea, err := oup.settings.Upstream.Health(ctx, path)
 	oup.mut.Lock()
@@ -296,7 +297,7 @@
 		oup.queue.setCold(oup.coldUntil, oup.coldRate)
 	}
 	if oup.coldRate > 0 && remaining == 0 {
-		oup.queue.confirm(sent)
+		oup.queue.confirm(granted)
 	}
 	// Checks that only confirm a warm upstream are too many for the log.
 	awaited := oup.checkPending || oup.checkWanted
--- a/core/state/sched/limits.go
+++ b/core/state/sched/limits.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// sendCounter counts the calls that were sent within the last second, to within a tenth of it.
+// sendCounter counts the calls that were sent within the last second, to within a tenth of it. It is for the log only.
 type sendCounter struct {
 	counts [sendIntervals]int // ring buffer; each count covers one sendInterval
 	newest int64              // number of the newest interval, counted from the Unix epoch
@@ -251,7 +251,7 @@
 
 	unconfirmed bool
 	checksFail  bool   // the latest health check has not found the upstream warm
-	sent        uint64 // calls given a slot in all
+	granted     uint64 // calls given a slot in all
 	credit      int    // calls that the latest health check still allows while unconfirmed
 }
 
@@ -329,11 +329,11 @@
 // refuses reports whether calls that may not be sent now are refused instead of waiting for the next health check.
 func (col *coldLimiter) refuses(now time.Time) bool { return now.Before(col.until) || col.checksFail }
 
-// confirm records that a health check found the upstream warm, which began when the given number of calls had been sent.
-func (col *coldLimiter) confirm(sentBefore uint64) {
+// confirm records that a health check found the upstream warm, which began when the given number of calls had got a slot.
+func (col *coldLimiter) confirm(grantedBefore uint64) {
 	col.checksFail = false
-	sentSince := int(col.sent - sentBefore) //nolint:gosec // calls sent during one check
-	col.credit = max(len(col.all.sentAt)-sentSince-col.all.unsent, 0)
+	grantedSince := int(col.granted - grantedBefore) //nolint:gosec // calls of one check
+	col.credit = max(len(col.all.sentAt)-grantedSince-col.all.unsent, 0)
 }
 
 // needsCheck reports whether another health check is due to allow further calls.
@@ -343,7 +343,7 @@
 
 // grant counts a call that gets a slot.
 func (col *coldLimiter) grant() {
-	col.sent++
+	col.granted++
 	col.credit = max(col.credit-1, 0)
 }
 
--- a/core/state/sched/sched.go
+++ b/core/state/sched/sched.go
@@ -186,11 +186,11 @@
 // Unconfirmed reports whether it is not known that the upstream is warm.
 func (sch *Scheduler) Unconfirmed() bool { return sch.cold.unconfirmed }
 
-// Sent returns how many calls were given a slot.
-func (sch *Scheduler) Sent() uint64 { return sch.cold.sent }
+// Granted returns how many calls were given a slot.
+func (sch *Scheduler) Granted() uint64 { return sch.cold.granted }
 
-// Confirm records that a health check has found the upstream warm; sentBefore is what Sent returned when it began.
-func (sch *Scheduler) Confirm(sentBefore uint64) { sch.cold.confirm(sentBefore) }
+// Confirm records that a health check has found the upstream warm; grantedBefore is what Granted returned when it began.
+func (sch *Scheduler) Confirm(grantedBefore uint64) { sch.cold.confirm(grantedBefore) }
 
 // CheckFailed records that a health check was not answered with the state of the upstream. While the upstream is
 // unconfirmed, calls beyond the cold rate are refused until the next one that finds it warm, instead of waiting for it.
