Keep the instance of a refused health check

The answer to a health check that an upstream refuses for lack of room names its instance, which was dropped since such answers count as telling nothing else.

--- a/core/coordination/proxy/cold_test.go
+++ b/core/coordination/proxy/cold_test.go
@@ -181,7 +181,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cup := &coldUpstream{}
 		env := &fakeEnv{upstream: cup.serve, sna: coldSnapshot(t, 5, false, 0)}
-		env.health = func() (core.Health, error) { return core.NewRejectedHealth(), nil }
+		env.health = func() (core.Health, error) { return core.NewRejectedHealth(""), nil }
 		// The process starts before the upstream, so it knows of all calls.
 		prx, stop := runProxy(t, env)
 		defer stop()
--- a/core/coordination/proxy/events_test.go
+++ b/core/coordination/proxy/events_test.go
@@ -192,7 +192,7 @@
 			case 1:
 				return core.Health{}, context.DeadlineExceeded // connection refused
 			}
-			return core.NewRejectedHealth(), nil
+			return core.NewRejectedHealth(""), nil
 		}
 		prx, stop := runProxy(t, env)
 		defer stop()
--- a/core/coordination/proxy/upstream.go
+++ b/core/coordination/proxy/upstream.go
@@ -271,6 +271,9 @@
 	hea, err := oup.settings.Upstream.Health(ctx, path)
 	oup.mut.Lock()
 	defer oup.mut.Unlock()
+	if hea.Instance() != "" {
+		oup.settings.Upstream.PinInstance(hea.Instance())
+	}
 	if err != nil || hea.Rejected() {
 		if err == nil {
 			if oup.down { // it may have started at any time until now
@@ -286,9 +289,6 @@
 	if remaining > 0 {
 		remaining += coldMargin
 	}
-	if hea.Instance() != "" {
-		oup.settings.Upstream.PinInstance(hea.Instance())
-	}
 	answersAll := events == oup.events
 	if oup.coldRate > 0 && (answersAll || remaining > 0) {
 		if until := now.Add(remaining); answersAll || until.After(oup.coldUntil) {
--- a/core/ports.go
+++ b/core/ports.go
@@ -43,10 +43,10 @@
 }
 
 // NewRejectedHealth returns the health of an upstream that refused a health check as it refuses calls, without running it.
-// The upstream answers, but whether it is cold is not known.
-func NewRejectedHealth() Health { return Health{rejected: true} }
+// The instance answers, but whether it is cold is not known.
+func NewRejectedHealth(instance string) Health { return Health{instance: instance, rejected: true} }
 
-// Rejected reports whether the upstream refused the health check, so that nothing else of the health is known.
+// Rejected reports whether the upstream refused the health check, so that nothing but the instance is known.
 func (hea Health) Rejected() bool { return hea.rejected }
 
 // Instance returns the identifier that the upstream has had since its last start, or "" if none is known.
